Serve the whole path thinly: daemons, platform, upstreams, callers, tool

Cause: the repository was empty. Change: crates for units, bounded HTTP/1.1, settings and service files, the platform client and its publishing core, limits, at-most-once memory, the desk that chooses workers, membership and links between daemons, the daemon, the operators' tool, stand-ins and the demonstration.

--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,5 @@
+//! The daemon of one entry VM.
+
+fn main() -> std::process::ExitCode {
+    daemon::run()
+}
--- /dev/null
+++ b/crates/pick/src/desk.rs
@@ -0,0 +1,543 @@
+use {
+    crate::{
+        Action, Decision, DeskReport, Event, Job, Refusal, Seat, Spec, Verdict, WorkerReport,
+        choose::Choice, lent::Wanted, worker::Worker,
+    },
+    fastrand::Rng,
+    limit::{Extra, Full, Quantile, Queue, Waiting},
+    unit::{Map, Name, Span, Time},
+};
+
+/// How long a worker that refused work gets none.
+const SHED: Span = Span::millis(20);
+/// How long a worker that said it is leaving gets none.
+const DRAINING: Span = Span::secs(5);
+/// How long a caller should stay away where no worker is open.
+const NOBODY: Span = Span::secs(1);
+
+/// A request that waits, with the worker that it must not get.
+#[derive(Clone, Debug)]
+struct Held {
+    job: Job,
+    not: Option<Name>,
+}
+
+/// The part of one daemon that gives one service's requests to workers.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    /// When a home was last asked for slots.
+    pub(crate) asked: Time,
+    pub(crate) daemons: u32,
+    extra: Extra,
+    /// Until when this daemon may feed cold workers and measure.
+    pub(crate) feed: Time,
+    /// The requests in the queue.
+    held: Map<u64, Held>,
+    pub(crate) latency: Quantile,
+    pub(crate) me: Name,
+    pub(crate) queue: Queue,
+    pub(crate) spec: Spec,
+    pub(crate) wanted: Vec<Wanted>,
+    /// Ordered by name, so that the same events give the same actions.
+    pub(crate) workers: Vec<Worker>,
+}
+
+impl Desk {
+    /// A desk without workers in the daemon `me`.
+    pub fn new(me: Name, spec: Spec) -> Self {
+        Self {
+            asked: Time::ZERO,
+            daemons: 1,
+            extra: Extra::new(spec.extra),
+            feed: Time::ZERO,
+            held: Map::default(),
+            latency: Quantile::default(),
+            me,
+            queue: Queue::new(spec.queue),
+            spec,
+            wanted: Vec::new(),
+            workers: Vec::new(),
+        }
+    }
+
+    /// Takes an event and adds to `out` what to do.
+    pub fn step(&mut self, now: Time, event: Event, rng: &mut Rng, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(job) => self.arrive(now, job, rng, out),
+            Event::Dialed { boot, worker } => self.dialed(now, &worker, boot, out),
+            Event::End {
+                id,
+                reuse,
+                verdict,
+                worker,
+            } => self.end(now, id, &worker, verdict, reuse, out),
+            Event::Feed(until) => self.feed = until,
+            Event::Hedge { job, not } => self.hedge(now, job, &not, rng, out),
+            Event::Leave(id) => drop(self.withdraw(id)),
+            Event::Lost { conns, worker } => self.lost(&worker, conns),
+            Event::Peer(from, msg) => self.peer(now, &from, msg, out),
+            Event::PeerUp(peer) => self.introduce(&peer, out),
+            Event::Retry { free, job, not } => self.retry(now, free, job, not, rng, out),
+            Event::Seats { daemons, seats } => self.seats(now, daemons, seats, out),
+            Event::Spec(spec) => self.respec(spec),
+            Event::Tick => self.tick(now, out),
+        }
+        self.serve(now, rng, out);
+    }
+
+    /// The time after which an idempotent request is given to a second worker.
+    pub fn hedge_delay(&self) -> Option<Span> {
+        self.latency.high()
+    }
+
+    /// Its state, for the dump.
+    pub fn report(&self, now: Time) -> DeskReport {
+        DeskReport {
+            spec: self.spec,
+            waiting: self.queue.len(),
+            workers: self
+                .workers
+                .iter()
+                .map(|worker| self.describe(now, worker))
+                .collect(),
+        }
+    }
+
+    pub(crate) fn worker(&mut self, name: &str) -> Option<&mut Worker> {
+        let at = self
+            .workers
+            .binary_search_by(|worker| (**worker.name()).cmp(name))
+            .ok()?;
+        self.workers.get_mut(at)
+    }
+
+    pub(crate) fn may_feed(&self, now: Time) -> bool {
+        now < self.feed
+    }
+
+    fn describe(&self, now: Time, worker: &Worker) -> WorkerReport {
+        WorkerReport {
+            allowed: worker.allowed(now, &self.spec),
+            boot: worker.boot,
+            busy: worker.busy(),
+            home: worker.seat.home.clone(),
+            idle: worker.idle,
+            lent: worker.lent(),
+            name: worker.name().clone(),
+            ratio: worker.ratio.get(1.0),
+            state: self.state(now, worker),
+        }
+    }
+
+    fn state(&self, now: Time, worker: &Worker) -> &'static str {
+        if !worker.seat.open {
+            "closed"
+        } else if worker.health.out() {
+            "failing"
+        } else if !worker.warm() {
+            "cold"
+        } else if worker.slow() {
+            "slow"
+        } else if worker.stalled(now, self.patience()) {
+            "stalled"
+        } else {
+            "open"
+        }
+    }
+
+    fn arrive(&mut self, now: Time, job: Job, rng: &mut Rng, out: &mut Vec<Action>) {
+        if !job.extra {
+            self.extra.earn(job.depth);
+        }
+        self.place(now, job, None, rng, out);
+    }
+
+    /// Gives a request to a worker, lets it wait, or refuses it.
+    fn place(
+        &mut self,
+        now: Time,
+        job: Job,
+        not: Option<Name>,
+        rng: &mut Rng,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.workers.iter().any(|worker| worker.seat.open) {
+            out.push(refusal(job.id, NOBODY, Refusal::Nobody, rng));
+            return;
+        }
+        if self.queue.is_empty()
+            && let Some(choice) = self.choose(now, &job, not.as_deref(), rng)
+        {
+            self.assign(now, &job, &choice, out);
+            return;
+        }
+        let waiting = Waiting {
+            deadline: job.deadline,
+            id: job.id,
+            since: now,
+        };
+        let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        match self.queue.push(now, job.lane, waiting) {
+            Err(Full(after)) => out.push(refusal(job.id, after, Refusal::Full, rng)),
+            Ok(()) => {
+                self.held.insert(job.id, Held { job, not });
+                out.push(Action::Note(Decision::Queued { ahead, id: job.id }));
+            }
+        }
+    }
+
+    fn assign(&mut self, now: Time, job: &Job, choice: &Choice, out: &mut Vec<Action>) {
+        let feed = self.feed;
+        let may = self.may_feed(now);
+        let alone = self.spec.policy == crate::Policy::Alone;
+        let Some(worker) = self.workers.get_mut(choice.index) else {
+            return;
+        };
+        let dial = worker.idle == 0;
+        if dial {
+            worker.dial(now, may);
+        } else {
+            worker.idle -= 1;
+        }
+        if choice.trial {
+            worker.tried(now);
+        }
+        worker.flying.push_back((now, job.id));
+        if worker.busy() >= worker.lease.slots {
+            worker.lease.used = now;
+        }
+        let cold = worker.mine && !worker.ramp.warm() && !alone;
+        out.push(Action::Assign {
+            boot: worker.boot.filter(|_| !alone),
+            dial,
+            expires: cold.then(|| feed.min(job.deadline)),
+            id: job.id,
+            worker: worker.name().clone(),
+        });
+        out.push(Action::Note(Decision::Chosen {
+            free: choice.free,
+            id: job.id,
+            passed: choice.passed,
+            worker: worker.name().clone(),
+        }));
+        self.queue.depart(now);
+    }
+
+    /// Serves waiting requests, here and at peers, oldest first, while there are free slots.
+    fn serve(&mut self, now: Time, rng: &mut Rng, out: &mut Vec<Action>) {
+        loop {
+            let own = self.queue.oldest();
+            let other = self.eldest_want(now);
+            let served = match (own, other) {
+                (None, None) => break,
+                (Some(since), Some(want)) if want < since => {
+                    self.lend(now, out) || self.serve_own(now, rng, out)
+                }
+                (Some(_), _) => self.serve_own(now, rng, out),
+                (None, Some(_)) => self.lend(now, out),
+            };
+            if !served {
+                break;
+            }
+        }
+        self.want(now, rng, out);
+    }
+
+    fn serve_own(&mut self, now: Time, rng: &mut Rng, out: &mut Vec<Action>) -> bool {
+        let need = self.latency.middle().unwrap_or_default();
+        let Some((lane, waiting)) = self.queue.pop(now, need) else {
+            return false;
+        };
+        let Some(held) = self.held.get(&waiting.id).cloned() else {
+            return true;
+        };
+        match self.choose(now, &held.job, held.not.as_deref(), rng) {
+            Some(choice) => {
+                self.held.remove(&waiting.id);
+                self.assign(now, &held.job, &choice, out);
+                true
+            }
+            None => {
+                self.queue.put_back(lane, waiting);
+                false
+            }
+        }
+    }
+
+    fn hedge(&mut self, now: Time, job: Job, not: &str, rng: &mut Rng, out: &mut Vec<Action>) {
+        if job.once || job.extra || !self.queue.is_empty() || !self.extra.take() {
+            return;
+        }
+        match self.choose(now, &job, Some(not), rng) {
+            Some(choice) if !choice.trial => self.assign(now, &job, &choice, out),
+            _ => self.extra.give(),
+        }
+    }
+
+    fn retry(
+        &mut self,
+        now: Time,
+        free: bool,
+        job: Job,
+        not: Name,
+        rng: &mut Rng,
+        out: &mut Vec<Action>,
+    ) {
+        let late = now >= job.deadline;
+        if late || !(free || (!job.extra && self.extra.take())) {
+            let why = if late {
+                Refusal::Deadline
+            } else {
+                Refusal::Budget
+            };
+            out.push(refusal(job.id, self.queue.wait(), why, rng));
+            return;
+        }
+        self.place(now, job, Some(not), rng, out);
+    }
+
+    fn withdraw(&mut self, id: u64) -> bool {
+        self.held.remove(&id);
+        self.queue.remove(id)
+    }
+
+    fn lost(&mut self, name: &str, conns: u32) {
+        if let Some(worker) = self.worker(name) {
+            worker.idle = worker.idle.saturating_sub(conns);
+        }
+    }
+
+    fn dialed(&mut self, now: Time, name: &str, boot: Option<u64>, out: &mut Vec<Action>) {
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        worker.dialing = worker.dialing.saturating_sub(1);
+        let Some(boot) = boot else {
+            worker.doubt = true;
+            worker.health.exclude(now);
+            return;
+        };
+        worker.idle += 1;
+        worker.doubt = false;
+        worker.seen = now;
+        let fresh = worker.reborn(boot);
+        let mine = worker.mine;
+        let worker = worker.name().clone();
+        if fresh && mine {
+            out.push(Action::Note(Decision::Cold {
+                why: "another life",
+                worker: worker.clone(),
+            }));
+            out.push(Action::Tell(self.news(&worker)));
+        } else if fresh {
+            self.report_doubt(&worker, out);
+        }
+    }
+
+    fn end(
+        &mut self,
+        now: Time,
+        id: u64,
+        name: &Name,
+        verdict: Verdict,
+        reuse: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let usual = self.latency.middle().unwrap_or_default();
+        let patience = self.patience();
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        let sent = worker.flying.iter().position(|(_, flying)| *flying == id);
+        let sent = sent.and_then(|at| worker.flying.remove(at));
+        worker.idle += u32::from(reuse);
+        match verdict {
+            Verdict::Answered(span) => self.answered(now, name, span, usual, out),
+            Verdict::Erred(_) => {
+                worker.seen = now;
+                self.failed(now, name, out);
+            }
+            Verdict::Cancelled => {
+                // A lower bound of what the answer would have taken.
+                let span = sent.map_or(Span::ZERO, |(at, _)| now - at);
+                if span > patience && usual > Span::ZERO {
+                    worker.ratio.add(span.as_secs() / usual.as_secs());
+                }
+            }
+            Verdict::Draining => worker.rest = now + DRAINING,
+            Verdict::Shed => {
+                worker.seen = now;
+                worker.rest = now + SHED;
+            }
+            Verdict::Failed | Verdict::Silent | Verdict::Unsent => {
+                worker.idle = 0;
+                worker.doubt |= verdict != Verdict::Silent;
+                out.push(Action::Drop(name.clone()));
+                if verdict == Verdict::Unsent {
+                    self.report_doubt(name, out);
+                } else {
+                    self.failed(now, name, out);
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, now: Time, name: &Name, span: Span, usual: Span, out: &mut Vec<Action>) {
+        self.latency.add(span);
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        let (was_slow, was_warm) = (worker.slow(), worker.ramp.warm());
+        worker.seen = now;
+        worker.health.good();
+        if usual > Span::ZERO {
+            worker.ratio.add(span.as_secs() / usual.as_secs());
+        }
+        if worker.mine {
+            worker.ramp.good();
+        }
+        if worker.slow() && !was_slow {
+            out.push(Action::Note(Decision::Slow(name.clone())));
+        }
+        if worker.ramp.warm() && !was_warm {
+            out.push(Action::Note(Decision::Warm(name.clone())));
+            out.push(Action::Tell(self.news(name)));
+        }
+    }
+
+    fn failed(&mut self, now: Time, name: &Name, out: &mut Vec<Action>) {
+        let Some(worker) = self.worker(name) else {
+            return;
+        };
+        if !worker.health.bad(now) {
+            return;
+        }
+        out.push(Action::Note(Decision::Failing(name.clone())));
+        if worker.mine {
+            worker.ramp.bad();
+            out.push(Action::Note(Decision::Cold {
+                why: "a run of failures",
+                worker: name.clone(),
+            }));
+        }
+    }
+
+    fn seats(&mut self, now: Time, daemons: u32, mut seats: Vec<Seat>, out: &mut Vec<Action>) {
+        let before = self
+            .workers
+            .iter()
+            .filter(|worker| worker.seat.open)
+            .count();
+        self.daemons = daemons;
+        seats.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut old = std::mem::take(&mut self.workers);
+        for seat in seats {
+            let at = old.iter().position(|worker| *worker.name() == seat.name);
+            let mut worker = match at {
+                Some(at) => old.swap_remove(at),
+                None => Worker::new(now, seat.clone(), &self.spec),
+            };
+            let mine = seat.home.as_ref() == Some(&self.me);
+            if mine && !worker.mine {
+                worker.window.fill(now);
+                out.push(Action::Note(Decision::Home(seat.name.clone())));
+            }
+            if mine != worker.mine {
+                worker.lent.clear();
+                worker.lease = crate::lent::Lease::default();
+            }
+            worker.mine = mine;
+            worker.seat = seat;
+            self.workers.push(worker);
+        }
+        for gone in old {
+            out.push(Action::Drop(gone.name().clone()));
+        }
+        let after = self
+            .workers
+            .iter()
+            .filter(|worker| worker.seat.open)
+            .count();
+        if after < before {
+            self.shed(out);
+        }
+    }
+
+    /// Refuses deferrable requests that wait, so that the workers that stay have room.
+    fn shed(&mut self, out: &mut Vec<Action>) {
+        let after = self.queue.wait();
+        for waiting in self.queue.shed() {
+            self.held.remove(&waiting.id);
+            out.push(Action::Refuse {
+                after,
+                id: waiting.id,
+                why: Refusal::Leaving,
+            });
+        }
+    }
+
+    fn respec(&mut self, spec: Spec) {
+        self.spec = spec;
+        self.extra.resize(spec.extra);
+        self.queue.resize(spec.queue);
+        for worker in &mut self.workers {
+            worker.resize(&spec);
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        let after = self.queue.wait();
+        for waiting in self.queue.expire(now) {
+            self.held.remove(&waiting.id);
+            out.push(Action::Refuse {
+                after,
+                id: waiting.id,
+                why: Refusal::Deadline,
+            });
+        }
+        self.dial_ahead(now, out);
+        self.renew(now, out);
+    }
+
+    /// Opens connections to this daemon's own workers before requests need them.
+    fn dial_ahead(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.spec.policy == crate::Policy::Alone {
+            return;
+        }
+        let feed = self.may_feed(now);
+        let (spec, daemons) = (self.spec, self.daemons);
+        for worker in self
+            .workers
+            .iter_mut()
+            .filter(|worker| worker.mine && worker.seat.open)
+        {
+            let unsure = worker.boot.is_none() || worker.doubt || worker.health.out();
+            if worker.health.out() && !worker.health.due(now) {
+                continue;
+            }
+            let aim = if unsure { 1 } else { worker.ramp.allowed() };
+            let have = worker.idle + worker.busy() + worker.dialing;
+            let short = if unsure {
+                worker.dialing == 0 && worker.idle == 0
+            } else {
+                have < aim
+            };
+            if short && worker.can_dial(now, &spec, daemons, feed) && worker.dial(now, feed) {
+                worker.dialing += 1;
+                worker.health.tried(now);
+                out.push(Action::Dial(worker.name().clone()));
+            }
+        }
+    }
+}
+
+/// A refusal whose time to come back is spread by up to a half, so that callers don't come back
+/// together.
+fn refusal(id: u64, after: Span, why: Refusal, rng: &mut Rng) -> Action {
+    let spread = Span::micros(rng.u64(0..=after.as_micros() / 2));
+    Action::Refuse {
+        after: after + spread,
+        id,
+        why,
+    }
+}
--- /dev/null
+++ b/crates/unit/src/lib.rs
@@ -0,0 +1,18 @@
+//! Units, names and hashing shared by every crate.
+
+mod clock;
+mod hash;
+mod span;
+mod time;
+
+pub use {
+    clock::Clock,
+    hash::{Map, Set, digest, rank},
+    span::Span,
+    time::Time,
+};
+
+use std::sync::Arc;
+
+/// A shared immutable name: of a service, a worker, a daemon or a data centre.
+pub type Name = Arc<str>;
--- /dev/null
+++ b/crates/unit/src/time.rs
@@ -0,0 +1,49 @@
+use {
+    crate::Span,
+    serde::{Deserialize, Serialize},
+    std::ops::{Add, Sub},
+};
+
+/// A point on one process's monotonic clock, in microseconds since its origin.
+///
+/// Times of two processes can't be compared.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Hash,
+)]
+pub struct Time(u64);
+
+impl Time {
+    /// The clock's origin.
+    pub const ZERO: Self = Self(0);
+
+    /// The time `span` after the clock's origin.
+    pub const fn at(span: Span) -> Self {
+        Self(span.as_micros())
+    }
+
+    /// The span since `earlier`, or zero where `earlier` lies ahead.
+    pub const fn since(self, earlier: Self) -> Span {
+        Span::micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The time `span` before this one, no earlier than the origin.
+    pub const fn back(self, span: Span) -> Self {
+        Self(self.0.saturating_sub(span.as_micros()))
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Self;
+
+    fn add(self, span: Span) -> Self {
+        Self(self.0.saturating_add(span.as_micros()))
+    }
+}
+
+impl Sub<Self> for Time {
+    type Output = Span;
+
+    fn sub(self, earlier: Self) -> Span {
+        self.since(earlier)
+    }
+}
