Measure ways to choose workers; tell slow workers by a mean of logarithms

Cause: at 70% load with exponential work, 31% of capacity was used and reads waited 5.7 s at the median. The dump showed most workers called slow: an estimate that takes half of every rise is far above the median for healthy workers whose times vary. A second cause: a worker in doubt that still had idle connections was never looked at again. A third: homes lent all their slots to each other at once. Ruled out: too few callers (320 for 130 in flight), the platform, processor time. Change: slowness is a mean of the logarithm of the ratio to the usual time, with two bounds; an empty pool is no sign of a failed worker; doubt ends with any answer; own slots go before borrowed ones; a peer's request goes before an own one only if it has waited 5 ms longer; entries keep connections ready.

--- a/crates/back/src/lib.rs
+++ b/crates/back/src/lib.rs
@@ -6,6 +6,6 @@
 
 pub use {
     dial::{BOOT, Dialed, dial},
-    pool::Pool,
+    pool::{Pool, Taken},
     wait::{Ready, wait},
 };
--- a/crates/back/src/pool.rs
+++ b/crates/back/src/pool.rs
@@ -20,6 +20,17 @@
     since: Instant,
 }
 
+/// What the pool had.
+#[derive(Debug)]
+pub enum Taken {
+    /// A connection that still stands.
+    Conn(Conn),
+    /// Only connections that the worker had closed, or of another life.
+    Dead,
+    /// Nothing.
+    Empty,
+}
+
 /// Idle connections to workers; the one used last is used first.
 #[derive(Debug, Default)]
 pub struct Pool(Mutex<Map<Name, Vec<Idle>>>);
@@ -28,15 +39,16 @@
     /// Takes a connection that still stands and leads to the life `boot`.
     ///
     /// Those that don't are closed on the way.
-    pub fn take(&self, worker: &Name, boot: Option<u64>) -> Option<Conn> {
+    pub fn take(&self, worker: &Name, boot: Option<u64>) -> Taken {
         let mut pool = self.0.lock();
-        let idle = pool.get_mut(worker)?;
-        while let Some(last) = idle.pop() {
+        let mut taken = Taken::Empty;
+        while let Some(last) = pool.get_mut(worker).and_then(Vec::pop) {
             if (boot.is_none() || last.boot == boot) && quiet(&last.conn) {
-                return Some(last.conn);
+                return Taken::Conn(last.conn);
             }
+            taken = Taken::Dead;
         }
-        None
+        taken
     }
 
     /// Opens a connection without asking the worker anything.
--- a/crates/back/src/wait.rs
+++ b/crates/back/src/wait.rs
@@ -1,10 +1,9 @@
 use {
-    nix::poll::{PollFd, PollFlags, PollTimeout, poll},
-    std::{
-        net::TcpStream,
-        os::fd::AsFd,
-        time::{Duration, Instant},
+    nix::{
+        poll::{PollFd, PollFlags, ppoll},
+        sys::time::TimeSpec,
     },
+    std::{net::TcpStream, os::fd::AsFd, time::Instant},
 };
 
 /// What ended a wait.
@@ -26,10 +25,7 @@
         .collect();
     loop {
         let left = end.saturating_duration_since(Instant::now());
-        // Rounded up, so that a short rest doesn't spin.
-        let left = left + Duration::from_micros(999);
-        let time = PollTimeout::try_from(left).unwrap_or(PollTimeout::MAX);
-        match poll(&mut fds, time) {
+        match ppoll(&mut fds, Some(TimeSpec::from_duration(left)), None) {
             Ok(0) => return Ready::Timeout,
             Ok(_) => break,
             Err(_) if Instant::now() >= end => return Ready::Timeout,
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -26,8 +26,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Policy {
-    /// Each daemon for itself, by two random choices; the baseline of measurements.
+    /// Each daemon for itself, by two random choices, without hedges; the baseline of
+    /// measurements.
     Alone,
+    /// As alone, with hedges; a second baseline.
+    Hedged,
     /// Homes that lend slots.
     Lease,
 }
@@ -117,8 +120,14 @@
         let policy = match doc.text("daemon", "policy") {
             None | Some("lease") => Policy::Lease,
             Some("alone") => Policy::Alone,
+            Some("hedged") => Policy::Hedged,
             Some(_) => {
-                doc.report("daemon", "policy", "unknown policy", "give lease or alone");
+                doc.report(
+                    "daemon",
+                    "policy",
+                    "unknown policy",
+                    "give lease, alone or hedged",
+                );
                 Policy::Lease
             }
         };
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -5,7 +5,7 @@
         flight::Flight,
         hall::{Grant, Hall, Turn},
     },
-    back::{Dialed, Ready, dial, wait},
+    back::{Dialed, Ready, Taken, dial, wait},
     conf::{Class, Kind, Policy, Service},
     crossbeam::channel::Receiver,
     pick::{Event, Job, Refusal, Verdict},
@@ -168,13 +168,11 @@
     /// A connection to the granted worker, from the pool or new; `None` ends the grant.
     fn connect(&self, grant: &Grant) -> Option<(Conn, bool)> {
         let pool = &self.daemon.pool;
-        if let Some(conn) = pool.take(&grant.worker, grant.boot) {
-            if grant.dial {
-                // The pool had one more than the desk knew of.
-                return Some((conn, true));
-            }
-            return Some((conn, true));
-        }
+        let missing = match pool.take(&grant.worker, grant.boot) {
+            Taken::Conn(conn) => return Some((conn, true)),
+            Taken::Dead => Verdict::Unsent,
+            Taken::Empty => Verdict::Unconnected,
+        };
         let address = self
             .daemon
             .live
@@ -183,11 +181,11 @@
             .get(&grant.worker)
             .map(|vm| vm.address);
         let (true, Some(address)) = (grant.dial, address) else {
-            self.finish(&grant.worker, Verdict::Unsent, false);
+            self.finish(&grant.worker, missing, false);
             return None;
         };
         self.daemon.metrics.dials.inc();
-        if self.daemon.settings.policy == Policy::Alone {
+        if self.daemon.settings.policy != Policy::Lease {
             let conn = pool.connect(address, PATIENCE).ok();
             if conn.is_none() {
                 self.finish(&grant.worker, Verdict::Unsent, false);
--- a/crates/daemon/src/hall.rs
+++ b/crates/daemon/src/hall.rs
@@ -127,6 +127,7 @@
         out: service.out,
         policy: match policy {
             conf::Policy::Alone => Policy::Alone,
+            conf::Policy::Hedged => Policy::Hedged,
             conf::Policy::Lease => Policy::Lease,
         },
         probes: service.probes,
--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -39,7 +39,7 @@
         not: Option<&str>,
         rng: &mut Rng,
     ) -> Option<Choice> {
-        if self.spec.policy == crate::Policy::Alone {
+        if !self.spec.policy.lends() {
             return self.choose_alone(not, rng);
         }
         let left_out = self.left_out(now);
@@ -90,6 +90,11 @@
         if let (true, Some(index)) = (try_cold, rng.choice(&cold)) {
             return Some(choice(*index, false));
         }
+        // Own slots first, so that borrowed ones fall idle and go back to their homes.
+        let own = |index: &usize| self.workers.get(*index).is_some_and(|worker| worker.mine);
+        if good.iter().any(own) {
+            good.retain(own);
+        }
         let first = *rng.choice(&good)?;
         let second = *rng.choice(&good)?;
         Some(choice(self.better(first, second), false))
@@ -100,7 +105,7 @@
         let ratio = |index: usize| {
             self.workers
                 .get(index)
-                .map_or(1.0, |worker: &Worker| worker.ratio.get(1.0))
+                .map_or(1.0, |worker: &Worker| worker.ratio.ratio())
         };
         if ratio(second) < ratio(first) {
             second
@@ -164,8 +169,8 @@
         Some(u64::MAX)
     } else if worker.stalled(now, patience) {
         Some(u64::MAX - 1)
-    } else if worker.slow() {
-        Some((worker.ratio.get(1.0) * 1_000.0) as u64)
+    } else if worker.ratio.slow() {
+        Some((worker.ratio.ratio() * 1_000.0) as u64)
     } else {
         None
     }
--- a/crates/pick/src/desk.rs
+++ b/crates/pick/src/desk.rs
@@ -15,6 +15,11 @@
 /// How long a caller should stay away where no worker is open.
 const NOBODY: Span = Span::secs(1);
 
+/// How much longer a peer's request must have waited to go before an own one.
+const PREFER: Span = Span::millis(5);
+/// Connections that an entry keeps ready to each worker whose home is another.
+const READY: u32 = 3;
+
 /// A request that waits, with the worker that it must not get.
 #[derive(Clone, Debug)]
 struct Held {
@@ -87,7 +92,9 @@
 
     /// The time after which an idempotent request is given to a second worker.
     pub fn hedge_delay(&self) -> Option<Span> {
-        self.latency.high()
+        self.latency
+            .high()
+            .filter(|_| self.spec.policy != crate::Policy::Alone)
     }
 
     /// Its state, for the dump.
@@ -124,7 +131,7 @@
             idle: worker.idle,
             lent: worker.lent(),
             name: worker.name().clone(),
-            ratio: worker.ratio.get(1.0),
+            ratio: worker.ratio.ratio(),
             state: self.state(now, worker),
         }
     }
@@ -136,7 +143,7 @@
             "failing"
         } else if !worker.warm() {
             "cold"
-        } else if worker.slow() {
+        } else if worker.ratio.slow() {
             "slow"
         } else if worker.stalled(now, self.patience()) {
             "stalled"
@@ -189,7 +196,7 @@
     fn assign(&mut self, now: Time, job: &Job, choice: &Choice, out: &mut Vec<Action>) {
         let feed = self.feed;
         let may = self.may_feed(now);
-        let alone = self.spec.policy == crate::Policy::Alone;
+        let alone = !self.spec.policy.lends();
         let Some(worker) = self.workers.get_mut(choice.index) else {
             return;
         };
@@ -230,7 +237,7 @@
             let other = self.eldest_want(now);
             let served = match (own, other) {
                 (None, None) => break,
-                (Some(since), Some(want)) if want < since => {
+                (Some(since), Some(want)) if want + PREFER < since => {
                     self.lend(now, out) || self.serve_own(now, rng, out)
                 }
                 (Some(_), _) => self.serve_own(now, rng, out),
@@ -369,6 +376,7 @@
                 worker.seen = now;
                 worker.rest = now + SHED;
             }
+            Verdict::Unconnected => worker.idle = 0,
             Verdict::Failed | Verdict::Silent | Verdict::Unsent => {
                 worker.idle = 0;
                 worker.doubt |= verdict != Verdict::Silent;
@@ -387,8 +395,10 @@
         let Some(worker) = self.worker(name) else {
             return;
         };
-        let (was_slow, was_warm) = (worker.slow(), worker.ramp.warm());
+        let (was_slow, was_warm) = (worker.ratio.slow(), worker.ramp.warm());
         worker.seen = now;
+        // Every connection leads to the life that was last seen.
+        worker.doubt = false;
         worker.health.good();
         if usual > Span::ZERO {
             worker.ratio.add(span.as_secs() / usual.as_secs());
@@ -396,7 +406,7 @@
         if worker.mine {
             worker.ramp.good();
         }
-        if worker.slow() && !was_slow {
+        if worker.ratio.slow() && !was_slow {
             out.push(Action::Note(Decision::Slow(name.clone())));
         }
         if worker.ramp.warm() && !was_warm {
@@ -499,30 +509,20 @@
         self.renew(now, out);
     }
 
-    /// Opens connections to this daemon's own workers before requests need them.
+    /// Opens connections before requests need them: to this daemon's own workers, and where it is
+    /// an entry of the service, to the others.
     fn dial_ahead(&mut self, now: Time, out: &mut Vec<Action>) {
-        if self.spec.policy == crate::Policy::Alone {
+        let entry = self.workers.iter().any(|worker| worker.mine);
+        if !self.spec.policy.lends() || !entry {
             return;
         }
         let feed = self.may_feed(now);
         let (spec, daemons) = (self.spec, self.daemons);
-        for worker in self
-            .workers
-            .iter_mut()
-            .filter(|worker| worker.mine && worker.seat.open)
-        {
-            let unsure = worker.boot.is_none() || worker.doubt || worker.health.out();
-            if worker.health.out() && !worker.health.due(now) {
-                continue;
-            }
-            let aim = if unsure { 1 } else { worker.ramp.allowed() };
-            let have = worker.idle + worker.busy() + worker.dialing;
-            let short = if unsure {
-                worker.dialing == 0 && worker.idle == 0
-            } else {
-                have < aim
-            };
-            if short && worker.can_dial(now, &spec, daemons, feed) && worker.dial(now, feed) {
+        for worker in self.workers.iter_mut().filter(|worker| worker.seat.open) {
+            if worker.wants_dial(now, READY)
+                && worker.can_dial(now, &spec, daemons, feed)
+                && worker.dial(now, feed)
+            {
                 worker.dialing += 1;
                 worker.health.tried(now);
                 out.push(Action::Dial(worker.name().clone()));
--- a/crates/pick/src/lend.rs
+++ b/crates/pick/src/lend.rs
@@ -147,7 +147,7 @@
                 && worker.warm()
                 && !worker.doubt
                 && !worker.health.out()
-                && !worker.slow()
+                && !worker.ratio.slow()
                 && !worker.stalled(now, patience)
                 && now >= worker.rest;
             if good { worker.free(now, &spec) } else { 0 }
@@ -236,12 +236,18 @@
         }
     }
 
+    /// Whether borrowed slots are free, which a lack of connections keeps from being used.
+    fn holds_free(&self, now: Time) -> bool {
+        let free = |worker: &Worker| !worker.mine && worker.free(now, &self.spec) > 0;
+        self.workers.iter().any(free)
+    }
+
     /// Asks homes for slots while requests wait.
     pub(crate) fn want(&mut self, now: Time, rng: &mut Rng, out: &mut Vec<Action>) {
         let Some(oldest) = self.queue.oldest() else {
             return;
         };
-        if self.spec.policy == Policy::Alone || now - self.asked < ASK {
+        if !self.spec.policy.lends() || now - self.asked < ASK || self.holds_free(now) {
             return;
         }
         self.asked = now;
@@ -255,9 +261,10 @@
         homes.dedup();
         rng.shuffle(&mut homes);
         homes.truncate(HOMES);
+        let each = self.queue.len().div_ceil(homes.len().max(1));
         let msg = Msg::Want {
             age: (now - oldest).as_micros(),
-            slots: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            slots: u32::try_from(each).unwrap_or(u32::MAX),
         };
         out.extend(
             homes
--- a/crates/pick/src/spec.rs
+++ b/crates/pick/src/spec.rs
@@ -3,12 +3,21 @@
 /// How workers are chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Policy {
-    /// By this daemon's own requests in flight, from two random workers.
+    /// By this daemon's own requests in flight, from two random workers, without hedges.
     Alone,
+    /// As alone, with hedges.
+    Hedged,
     /// By slots that a worker's home holds and lends.
     Lease,
 }
 
+impl Policy {
+    /// Whether slots are lent by homes.
+    pub(crate) fn lends(self) -> bool {
+        self == Self::Lease
+    }
+}
+
 /// A service's limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct Spec {
--- a/crates/pick/src/verdict.rs
+++ b/crates/pick/src/verdict.rs
@@ -17,6 +17,8 @@
     Shed,
     /// The deadline passed without a byte from the worker on a connection that had worked before.
     Silent,
+    /// No byte left: the pool had fewer connections than the desk knew of.
+    Unconnected,
     /// No byte left: no connection could be had.
     Unsent,
 }
--- a/crates/pick/src/worker.rs
+++ b/crates/pick/src/worker.rs
@@ -9,10 +9,6 @@
     unit::{Name, Span, Time},
 };
 
-/// A ratio to the usual time above which a worker is slow.
-const SLOW: f64 = 2.5;
-/// Answers that must have been seen before a worker can be called slow.
-const SEEN: u32 = 4;
 /// Between two measuring requests out of one daemon's share: a little over a second, so that a
 /// share never has two in one second.
 const SHARE: Span = Span::millis(1_100);
@@ -98,7 +94,7 @@
 
     /// Requests that this daemon may have at the worker at once.
     pub(crate) fn allowed(&self, now: Time, spec: &Spec) -> u32 {
-        if spec.policy == Policy::Alone {
+        if !spec.policy.lends() {
             spec.slots * 4
         } else if self.mine {
             self.ramp.allowed().saturating_sub(self.lent())
@@ -133,6 +129,24 @@
         }
     }
 
+    /// Whether a connection should be opened ahead of requests; `ready` are kept to a worker
+    /// whose home is another daemon.
+    pub(crate) fn wants_dial(&self, now: Time, ready: u32) -> bool {
+        if self.health.out() && !self.health.due(now) {
+            return false;
+        }
+        let have = self.idle + self.busy() + self.dialing;
+        if !self.mine {
+            return self.warm() && !self.health.out() && have < ready;
+        }
+        let unsure = self.boot.is_none() || self.doubt || self.health.out();
+        if unsure {
+            self.dialing == 0
+        } else {
+            have < self.ramp.allowed()
+        }
+    }
+
     fn home_open(&mut self, now: Time, feed: bool) -> bool {
         self.mine && feed && self.window.open(now)
     }
@@ -141,11 +155,6 @@
         self.seat.share && self.share.open(now)
     }
 
-    /// Whether it answers much later than usual.
-    pub(crate) fn slow(&self) -> bool {
-        self.ratio.count() >= SEEN && self.ratio.get(1.0) > SLOW
-    }
-
     /// Whether it holds requests and has not answered any for longer than `patience`.
     pub(crate) fn stalled(&self, now: Time, patience: Span) -> bool {
         let oldest = self.flying.front().map(|(at, _)| *at);
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -44,7 +44,7 @@
     pub daemons: usize,
     /// Lines for the daemons' settings, below `[limits]`.
     pub limits: String,
-    /// `lease` or `alone`.
+    /// `lease`, `alone` or `hedged`.
     pub policy: String,
     /// The services.
     pub services: Vec<ServicePlan>,
@@ -320,7 +320,7 @@
                 let known = |worker: &Value| {
                     worker["boot"].is_u64() || worker["home"] != seat.name.as_str()
                 };
-                self.plan.policy == "alone"
+                self.plan.policy != "lease"
                     || workers
                         .as_array()
                         .is_some_and(|workers| workers.iter().all(known))
@@ -416,6 +416,14 @@
         own.map(|(name, _)| name.clone()).collect()
     }
 
+    /// The addresses of all workers.
+    pub fn worker_addresses(&self) -> Vec<SocketAddr> {
+        let address = |(name, seat): (&String, &WorkerSeat)| {
+            self.upstreams.get(seat.process)?.address(name).ok()
+        };
+        self.workers.iter().filter_map(address).collect()
+    }
+
     /// A worker's data centre.
     pub fn worker_centre(&self, worker: &str) -> &str {
         self.workers.get(worker).map_or("", |seat| &seat.centre)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,7 +2,9 @@
 //! the demonstration: a platform, upstreams, callers, and a fleet of real processes.
 
 pub mod arrivals;
+pub mod bench;
 pub mod caller;
+pub mod compare;
 pub mod demo;
 pub mod fleet;
 pub mod load;
