--- a/crates/daemon/src/flow.rs
+++ b/crates/daemon/src/flow.rs
@@ -309,6 +309,16 @@
             "key used before",
             "the key came with a different request before; choose a new one".to_owned(),
         ),
+        Begin::NotRun => {
+            let rejection = Rejection {
+                detail: "it was refused under this ticket; ask /v1/entries for a new one"
+                    .to_owned(),
+                outcome: Outcome::NotRun,
+                status: 503,
+                title: "not run",
+            };
+            return Some(refuse(&rejection, COME_BACK));
+        }
         Begin::Running => {
             let rejection = Rejection {
                 detail: "it runs at this moment; ask again with the same key and ticket".to_owned(),
--- a/crates/once/src/begin.rs
+++ b/crates/once/src/begin.rs
@@ -13,6 +13,8 @@
     Mismatch,
     /// It was sent before, and what became of it is not known.
     Lost,
+    /// It was called not run under this ticket, and stays so.
+    NotRun,
     /// Run it, then say how it ended.
     Run,
     /// It runs at this moment.
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -22,17 +22,23 @@
     /// When it is forgotten, unless it still runs.
     end: u64,
     state: State<A>,
+    /// The end of the ticket that it last came with.
+    ticket: u64,
 }
 
 #[derive(Clone, Debug)]
 enum State<A> {
     Lost,
+    NotRun,
     Ran(A),
     Running,
 }
 
 /// One life's memory of the keys that ran under its tickets.
 ///
+/// A request that was called not run stays so under its ticket, since a copy of it may still be on
+/// its way; it can run with a later ticket.
+///
 /// A key is forgotten only when every ticket that it can come with has ended: an entry is kept
 /// until `grace` after the latest end that a ticket may have, judged by the clock that judges
 /// the tickets. Times are milliseconds since the Unix epoch by a clock that never goes back.
@@ -69,26 +75,26 @@
             return match &entry.state {
                 _ if entry.digest != digest => Begin::Mismatch,
                 State::Lost => Begin::Lost,
+                State::NotRun if ticket.expiry > entry.ticket => {
+                    self.begin_new(now, key, ticket, digest)
+                }
+                State::NotRun if ticket.expiry == entry.ticket => Begin::NotRun,
+                State::NotRun => Begin::Expired,
                 State::Ran(answer) => Begin::Known(answer.clone()),
                 State::Running => Begin::Running,
             };
         }
-        if ticket.expiry <= now || ticket.expiry > now + self.limits.ticket {
-            return Begin::Expired;
-        }
         if self.entries.len() >= self.limits.keys {
             return Begin::Full;
         }
-        self.insert(now, key, digest);
-        Begin::Run
+        self.begin_new(now, key, ticket, digest)
     }
 
     /// Records how a request that [`Self::begin`] let run has ended.
     ///
-    /// One that did not run is forgotten, so that the caller may ask again.
     pub fn end(&mut self, key: &str, outcome: Outcome, answer: A) {
         match outcome {
-            Outcome::NotRun => drop(self.entries.remove(key)),
+            Outcome::NotRun => self.set(key, State::NotRun),
             Outcome::Ran => self.set(key, State::Ran(answer)),
             Outcome::Unknown => self.set(key, State::Lost),
         }
@@ -104,15 +110,20 @@
         self.entries.is_empty()
     }
 
-    fn insert(&mut self, now: u64, key: &str, digest: u64) {
+    fn begin_new(&mut self, now: u64, key: &str, ticket: &Ticket, digest: u64) -> Begin<A> {
+        if ticket.expiry <= now || ticket.expiry > now + self.limits.ticket {
+            return Begin::Expired;
+        }
         let end = now + self.limits.ticket + self.limits.grace;
         let entry = Entry {
             digest,
             end,
             state: State::Running,
+            ticket: ticket.expiry,
         };
         self.entries.insert(key.to_owned(), entry);
         self.ends.push_back((end, key.to_owned()));
+        Begin::Run
     }
 
     fn set(&mut self, key: &str, state: State<A>) {
--- a/crates/peer/src/spread.rs
+++ b/crates/peer/src/spread.rs
@@ -34,8 +34,8 @@
 /// Which generation is in force here, and what peers have.
 ///
 /// Neither the generation nor the list's version ever goes back. A daemon has caught up once the
-/// platform, or more than half of the daemons that it knows of, itself counted in, have told it
-/// what they have, and it has the newest of it.
+/// platform, or enough of the daemons that it knows of, have told it what they have, and it has the
+/// newest of it.
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
     asked: Time,
@@ -112,8 +112,11 @@
     }
 
     /// Whether this daemon may serve; `known` other daemons are known of.
+    ///
+    /// So many of them must have told it that one is among any majority of all daemons, even if
+    /// this daemon was in that majority itself in an earlier life.
     pub fn caught_up(&mut self, known: usize) -> bool {
-        let most = !self.peers.is_empty() && self.peers.len() >= known.div_ceil(2);
+        let most = !self.peers.is_empty() && self.peers.len() >= (known + 1).div_ceil(2);
         let newest = self.peers.values().all(|(generation, list)| {
             (*generation <= self.generation || self.refused.contains(generation))
                 && *list <= self.list
--- a/crates/pick/src/desk.rs
+++ b/crates/pick/src/desk.rs
@@ -76,7 +76,7 @@
                 verdict,
                 worker,
             } => self.end(now, id, &worker, verdict, reuse, out),
-            Event::Feed(until) => self.feed = until,
+            Event::Feed(until) => self.permit(now, until),
             Event::Hedge { job, not } => self.hedge(now, job, &not, rng, out),
             Event::Leave(id) => drop(self.withdraw(id)),
             Event::Lost { conns, worker } => self.lost(&worker, conns),
@@ -303,6 +303,19 @@
         self.place(now, job, Some(not), rng, out);
     }
 
+    /// Notes until when this daemon may feed cold workers and measure.
+    ///
+    /// Where it gains the permission, another home may have used up the budgets just before.
+    fn permit(&mut self, now: Time, until: Time) {
+        let gained = !self.may_feed(now) && until > now;
+        self.feed = until;
+        if gained {
+            for worker in &mut self.workers {
+                worker.window.fill(now);
+            }
+        }
+    }
+
     fn withdraw(&mut self, id: u64) -> bool {
         self.held.remove(&id);
         self.queue.remove(id)
@@ -449,7 +462,6 @@
             };
             let mine = seat.home.as_ref() == Some(&self.me);
             if mine && !worker.mine {
-                worker.window.fill(now);
                 out.push(Action::Note(Decision::Home(seat.name.clone())));
             }
             if mine != worker.mine {
--- a/crates/pick/src/lend.rs
+++ b/crates/pick/src/lend.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        Action, Desk, Msg, Policy,
+        Action, Desk, Msg, Spec,
         lent::{KEEP, LAPSE, LEASE, Lease, Lent, RENEW, Wanted},
         worker::Worker,
     },
@@ -9,11 +9,13 @@
 };
 
 /// Between two times of asking for slots.
-const ASK: Span = Span::millis(10);
+const ASK: Span = Span::millis(7);
 /// How long what a peer lacks is taken for true.
 const WANT: Span = Span::millis(25);
 /// Homes that are asked at a time.
 const HOMES: usize = 2;
+/// How long a peer gets no slots of a worker that it can't use.
+const SHUN: Span = Span::millis(300);
 /// How long an own request waits before a home takes slots back.
 const RECALL: Span = Span::millis(10);
 
@@ -25,7 +27,16 @@
                 slots,
                 worker,
             } => self.granted(now, from, &worker, boot, slots),
-            Msg::Hold { slots, worker } => self.held_by(now, from, &worker, slots, out),
+            Msg::Hold {
+                slots,
+                unfit,
+                worker,
+            } => {
+                if unfit {
+                    self.shun(now, from, &worker);
+                }
+                self.held_by(now, from, &worker, slots, out);
+            }
             Msg::News { boot, warm, worker } => self.informed(from, &worker, boot, warm),
             Msg::Suspect { worker } => self.suspected(&worker, out),
             Msg::Want { age, slots } => self.wanted_by(now, from, Span::micros(age), slots),
@@ -141,42 +152,49 @@
     pub(crate) fn lend(&mut self, now: Time, out: &mut Vec<Action>) -> bool {
         let spec = self.spec;
         let patience = self.patience();
-        let lendable = |worker: &Worker| {
-            let good = worker.mine
-                && worker.seat.open
-                && worker.warm()
-                && !worker.doubt
-                && !worker.health.out()
-                && !worker.ratio.slow()
-                && !worker.stalled(now, patience)
-                && now >= worker.rest;
-            if good { worker.free(now, &spec) } else { 0 }
+        let Some(wanted) = self.wanted.iter_mut().min_by_key(|wanted| wanted.since) else {
+            return false;
         };
-        let total: u32 = self.workers.iter().map(lendable).sum();
-        let best = self
+        let total: u32 = self
             .workers
             .iter()
-            .enumerate()
-            .max_by_key(|(_, worker)| lendable(worker));
-        let Some(index) = best.map(|(index, _)| index).filter(|_| total > 0) else {
-            return false;
+            .map(|worker| lendable(worker, now, &spec, patience))
+            .sum();
+        let fit = |worker: &&mut Worker| {
+            let shunned = |(peer, until): &(Name, Time)| *peer == wanted.peer && now < *until;
+            lendable(worker, now, &spec, patience) > 0 && !worker.shunned.iter().any(shunned)
         };
-        let eldest = self.wanted.iter_mut().min_by_key(|wanted| wanted.since);
-        let (Some(worker), Some(wanted)) = (self.workers.get_mut(index), eldest) else {
-            return false;
+        let best = self.workers.iter_mut().filter(fit);
+        let best = best.max_by_key(|worker| lendable(worker, now, &spec, patience));
+        let Some(worker) = best else {
+            wanted.slots = 0;
+            return total > 0;
         };
         let spare = if self.queue.is_empty() {
             total.div_ceil(2)
         } else {
             1
         };
-        let slots = wanted.slots.min(lendable(worker)).min(spare);
+        let slots = wanted
+            .slots
+            .min(lendable(worker, now, &spec, patience))
+            .min(spare);
         wanted.slots -= slots;
         let all = add_lent(worker, &wanted.peer, slots, now);
         out.push(grant(&wanted.peer, worker, all));
         true
     }
 
+    /// Grants a peer no more slots of a worker for a while.
+    fn shun(&mut self, now: Time, peer: &Name, name: &str) {
+        if let Some(worker) = self.worker(name) {
+            worker
+                .shunned
+                .retain(|(other, until)| other != peer && now < *until);
+            worker.shunned.push((peer.clone(), now + SHUN));
+        }
+    }
+
     fn held_by(&mut self, now: Time, from: &Name, name: &str, slots: u32, out: &mut Vec<Action>) {
         let pressed = self
             .queue
@@ -206,8 +224,10 @@
         out.push(grant(from, worker, kept));
     }
 
-    /// Gives back what isn't used, renews the rest, and drops what has lapsed.
+    /// Gives back what isn't or can't be used, renews the rest, and drops what has lapsed.
     pub(crate) fn renew(&mut self, now: Time, out: &mut Vec<Action>) {
+        let patience = self.patience();
+        let (spec, daemons) = (self.spec, self.daemons);
         for worker in &mut self.workers {
             worker.lent.retain(|lent| now < lent.until);
             if worker.lease.slots == 0 {
@@ -218,7 +238,9 @@
                 continue;
             }
             let busy = worker.busy();
-            let spare = busy < worker.lease.slots && now - worker.lease.used > KEEP;
+            let free = busy < worker.lease.slots;
+            let unfit = free && unfit(worker, now, &spec, daemons, patience);
+            let spare = unfit || (free && now - worker.lease.used > KEEP);
             if spare {
                 worker.lease.slots = busy;
                 worker.lease.used = now;
@@ -227,6 +249,7 @@
                 worker.lease.told = now;
                 let hold = Msg::Hold {
                     slots: worker.lease.slots,
+                    unfit,
                     worker: worker.name().to_string(),
                 };
                 if let Some(home) = worker.seat.home.clone() {
@@ -274,6 +297,29 @@
     }
 }
 
+/// Whether borrowed slots of a worker can't be used now.
+fn unfit(worker: &mut Worker, now: Time, spec: &Spec, daemons: u32, patience: Span) -> bool {
+    let conn = worker.idle > 0 || worker.can_dial(now, spec, daemons, false);
+    !conn
+        || worker.health.out()
+        || worker.ratio.slow()
+        || worker.stalled(now, patience)
+        || now < worker.rest
+}
+
+/// Slots of an own worker that may be lent.
+fn lendable(worker: &Worker, now: Time, spec: &Spec, patience: Span) -> u32 {
+    let good = worker.mine
+        && worker.seat.open
+        && worker.warm()
+        && !worker.doubt
+        && !worker.health.out()
+        && !worker.ratio.slow()
+        && !worker.stalled(now, patience)
+        && now >= worker.rest;
+    if good { worker.free(now, spec) } else { 0 }
+}
+
 /// Adds to what a peer holds of a worker, and returns the total.
 fn add_lent(worker: &mut Worker, peer: &Name, slots: u32, now: Time) -> u32 {
     let until = now + LAPSE;
--- a/crates/pick/src/msg.rs
+++ b/crates/pick/src/msg.rs
@@ -21,6 +21,9 @@
     Hold {
         /// Slots in all.
         slots: u32,
+        /// Whether the sender can't use more of them: it has no connection, or finds the worker
+        /// slow.
+        unfit: bool,
         /// The worker.
         worker: String,
     },
--- a/crates/pick/src/worker.rs
+++ b/crates/pick/src/worker.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        Policy, Seat, Spec,
+        Seat, Spec,
         lent::{Lease, Lent},
     },
     limit::{Estimate, Health, Pace, Ramp, Window},
@@ -31,6 +31,8 @@
     pub(crate) doubt: bool,
     pub(crate) lease: Lease,
     pub(crate) lent: Vec<Lent>,
+    /// Peers that can't use its slots, and until when they get none.
+    pub(crate) shunned: Vec<(Name, Time)>,
     /// Whether this daemon is its home.
     pub(crate) mine: bool,
     /// Answers' time against the usual time.
@@ -69,6 +71,7 @@
             rest: now,
             seat,
             seen: now,
+            shunned: Vec::new(),
             share: Pace::new(now, SHARE),
             trial: now,
             window,
