--- a/crates/back/src/dial.rs
+++ b/crates/back/src/dial.rs
@@ -22,11 +22,26 @@
 
 /// Opens a connection to a worker and asks for its load on it, which shows the worker's life.
 ///
+/// Nothing is asked after `until`, for which the question was counted.
+///
 /// # Errors
-/// Fails where the worker refuses, takes longer than `time`, or shows no life.
-pub fn dial(address: SocketAddr, path: &str, time: Duration) -> Result<Dialed, WireError> {
+/// Fails where the connection isn't open by `until`, or the worker takes longer than `time` to
+/// show its life, or shows none.
+pub fn dial(
+    address: SocketAddr,
+    path: &str,
+    until: Instant,
+    time: Duration,
+) -> Result<Dialed, WireError> {
+    let left = until.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(WireError::Timeout);
+    }
+    let mut conn = connect(address, left)?;
+    if Instant::now() >= until {
+        return Err(WireError::Timeout);
+    }
     let end = Instant::now() + time;
-    let mut conn = connect(address, time)?;
     let mut request = Request::new("GET", path);
     request.headers.add("Host", address);
     request.headers.add("Anvilferry-Probe", 1);
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -180,7 +180,7 @@
             .vms
             .get(&grant.worker)
             .map(|vm| vm.address);
-        let (true, Some(address)) = (grant.dial, address) else {
+        let (Some(until), Some(address)) = (grant.dial, address) else {
             self.finish(&grant.worker, missing, false);
             return None;
         };
@@ -192,14 +192,22 @@
             }
             return conn.map(|conn| (conn, false));
         }
-        match dial(address, &self.service.probe, PATIENCE) {
+        match dial(
+            address,
+            &self.service.probe,
+            self.daemon.instant(until),
+            PATIENCE,
+        ) {
             Ok(Dialed { boot, conn }) if Some(boot) == grant.boot => Some((conn, false)),
             Ok(Dialed { boot, conn }) => {
                 self.finish(&grant.worker, Verdict::Unsent, false);
                 pool.put(&grant.worker, Some(boot), conn);
                 let worker = grant.worker.clone();
-                let boot = Some(boot);
-                self.drive(Event::Dialed { boot, worker });
+                self.drive(Event::Dialed {
+                    ahead: false,
+                    boot: Some(boot),
+                    worker,
+                });
                 None
             }
             Err(_) => {
@@ -382,7 +390,7 @@
         self.hall.exit(self.job.id);
         while let Ok(turn) = self.turns.try_recv() {
             if let Turn::Go(grant) = turn {
-                self.finish(&grant.worker, Verdict::Cancelled, !grant.dial);
+                self.finish(&grant.worker, Verdict::Cancelled, grant.dial.is_none());
             }
         }
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -34,7 +34,7 @@
     pub(crate) client: Client,
     pub(crate) clock: Clock,
     /// Closed at the end, which ends the dialers.
-    dials: Mutex<Option<Sender<(Arc<Hall>, Name)>>>,
+    dials: Mutex<Option<Sender<Dial>>>,
     /// Requests in progress.
     pub(crate) flying: AtomicU64,
     pub(crate) isolated: AtomicBool,
@@ -50,6 +50,8 @@
     pub(crate) pool: Pool,
     /// Held while the site or the list is replaced.
     replace: Mutex<()>,
+    /// Held while desks are told their seats, so that they learn of the newest view last.
+    pub(crate) seating: Mutex<()>,
     pub(crate) settings: Settings,
     pub(crate) spread: Mutex<Spread>,
     pub(crate) standing: Mutex<Standing>,
@@ -57,10 +59,18 @@
     pub(crate) view: Mutex<View>,
 }
 
+/// A connection that is to be opened ahead of requests.
+pub(crate) struct Dial {
+    pub(crate) hall: Arc<Hall>,
+    /// Nothing may be asked on it after this time.
+    pub(crate) until: Time,
+    pub(crate) worker: Name,
+}
+
 /// What a daemon is made of.
 pub(crate) struct Parts {
     pub(crate) clock: Clock,
-    pub(crate) dials: Sender<(Arc<Hall>, Name)>,
+    pub(crate) dials: Sender<Dial>,
     pub(crate) ledger: Ledger<Response>,
     pub(crate) life: u64,
     pub(crate) links: Links,
@@ -89,6 +99,7 @@
             platform_ok: AtomicU64::new(0),
             pool: Pool::default(),
             replace: Mutex::new(()),
+            seating: Mutex::new(()),
             spread: Mutex::default(),
             standing: Mutex::new(Standing::Joining),
             started: Instant::now(),
@@ -132,7 +143,7 @@
     fn perform(&self, now: Time, hall: &Arc<Hall>, action: Action) {
         match action {
             Action::Assign { .. } | Action::Refuse { .. } => {}
-            Action::Dial(worker) => self.dial(hall, worker),
+            Action::Dial(worker, until) => self.dial(hall, worker, until),
             Action::Drop(worker) => self.pool.drop_all(&worker),
             Action::Note(decision) => self.note(now, hall, decision),
             Action::Send(peer, msg) => {
@@ -149,14 +160,18 @@
         }
     }
 
-    fn dial(&self, hall: &Arc<Hall>, worker: Name) {
-        let order = (Arc::clone(hall), worker);
+    fn dial(&self, hall: &Arc<Hall>, worker: Name, until: Time) {
+        let dial = Dial {
+            hall: Arc::clone(hall),
+            until,
+            worker,
+        };
         let full = match &*self.dials.lock() {
-            Some(dials) => dials.try_send(order).err().map(TrySendError::into_inner),
-            None => Some(order),
+            Some(dials) => dials.try_send(dial).err().map(TrySendError::into_inner),
+            None => Some(dial),
         };
-        if let Some((hall, worker)) = full {
-            self.drive(&hall, DeskEvent::Dialed { boot: None, worker });
+        if let Some(dial) = full {
+            self.drive(&dial.hall, DeskEvent::Skipped(dial.worker));
         }
     }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -44,6 +44,7 @@
 
     /// Tells the view and every desk what the site, the list and the fleet now make of them.
     pub(crate) fn reseat(&self) {
+        let _guard = self.seating.lock();
         let live = self.live.load_full();
         let region = &self.settings.region;
         let local = |vm: &&Vm| vm.region == *region;
@@ -61,14 +62,22 @@
         self.set_links(&live);
         self.view(ViewEvent::Listed(daemons));
         self.view(ViewEvent::Inputs(inputs(&live, region)));
+        // Read before the members: if they change meanwhile, the seats count as of the old view.
+        let epoch = self.view.lock().epoch();
         for (service, hall) in live.services.values() {
             let chosen = self.entries_of(&live, &service.name, service.entries);
-            let event = self.seats(&live, service, &chosen);
+            let event = self.seats(&live, service, &chosen, epoch);
             self.drive(hall, event);
         }
     }
 
-    fn seats(&self, live: &Live, service: &conf::Service, chosen: &[Candidate]) -> DeskEvent {
+    fn seats(
+        &self,
+        live: &Live,
+        service: &conf::Service,
+        chosen: &[Candidate],
+        epoch: u64,
+    ) -> DeskEvent {
         let listed = self.view.lock().listed_names();
         let workers: Vec<&Vm> = live
             .list
@@ -92,6 +101,7 @@
         };
         DeskEvent::Seats {
             daemons: u32::try_from(listed.len()).unwrap_or(u32::MAX).max(1),
+            epoch,
             seats: workers.iter().zip(homes).map(seat).collect(),
         }
     }
--- a/crates/daemon/src/hall.rs
+++ b/crates/daemon/src/hall.rs
@@ -23,8 +23,8 @@
 pub(crate) struct Grant {
     /// The life that a new connection must show.
     pub(crate) boot: Option<u64>,
-    /// Whether a new connection may be opened.
-    pub(crate) dial: bool,
+    /// Until when a new connection may be opened; `None` where an idle one is to be used.
+    pub(crate) dial: Option<Time>,
     /// When the worker must have ended it, where that is before the deadline.
     pub(crate) expires: Option<Time>,
     pub(crate) worker: Name,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         arguments::Arguments,
-        daemon::{Daemon, Parts},
+        daemon::{Daemon, Dial, Parts},
         dialer,
         error::DaemonError,
         event::{Event, log},
@@ -160,7 +160,7 @@
 fn start_tasks(
     daemon: &Arc<Daemon>,
     inbox: Receiver<peer::Incoming>,
-    queue: Receiver<(Arc<crate::hall::Hall>, unit::Name)>,
+    queue: Receiver<Dial>,
 ) -> Result<Tasks, DaemonError> {
     let (stop, stopped) = bounded(0);
     let mut threads = Vec::new();
--- a/crates/daemon/src/ticker.rs
+++ b/crates/daemon/src/ticker.rs
@@ -27,9 +27,12 @@
             slow = Instant::now();
             slow_tick(daemon);
         }
-        let feed = daemon.view.lock().feed(daemon.now());
+        let (epoch, until) = {
+            let view = daemon.view.lock();
+            (view.epoch(), view.feed(daemon.now()))
+        };
         for hall in daemon.live.load().halls() {
-            daemon.drive(hall, DeskEvent::Feed(feed));
+            daemon.drive(hall, DeskEvent::Feed { epoch, until });
             daemon.drive(hall, DeskEvent::Tick);
         }
         if reap.elapsed() >= REAP {
--- a/crates/peer/src/view.rs
+++ b/crates/peer/src/view.rs
@@ -70,6 +70,8 @@
 pub struct View {
     /// When the view last changed.
     changed: Time,
+    /// Counts the changes.
+    epoch: u64,
     inputs: u64,
     life: u64,
     me: Name,
@@ -88,6 +90,7 @@
     pub fn new(now: Time, me: Name, life: u64) -> Self {
         Self {
             changed: now,
+            epoch: 1,
             inputs: 0,
             life,
             me,
@@ -117,6 +120,7 @@
         }
         if self.digest() != before {
             self.changed = now;
+            self.epoch += 1;
             out.push(ViewAction::Changed);
         }
         if now >= self.next {
@@ -140,6 +144,11 @@
         all
     }
 
+    /// The number of the present view; another view has another number.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// The listed daemons, this one included if it is listed.
     pub fn listed_names(&self) -> Vec<Name> {
         let own = self.own.iter().map(|own| own.name.clone());
--- a/crates/pick/src/action.rs
+++ b/crates/pick/src/action.rs
@@ -11,8 +11,9 @@
     Assign {
         /// The life that a new connection must show; `None` where it isn't looked at.
         boot: Option<u64>,
-        /// Whether a new connection may be opened, counted as one measuring request.
-        dial: bool,
+        /// Until when a new connection may be opened, counted as one measuring request; `None`
+        /// where an idle one is to be used.
+        dial: Option<Time>,
         /// When the worker must have ended it; `None` for the request's own deadline. Nothing
         /// may be sent after it.
         expires: Option<Time>,
@@ -21,8 +22,8 @@
         /// The worker.
         worker: Name,
     },
-    /// Open a connection to a worker ahead of requests.
-    Dial(Name),
+    /// Open a connection to a worker ahead of requests, and ask nothing on it after this time.
+    Dial(Name, Time),
     /// Close every idle connection to a worker.
     Drop(Name),
     /// Note something that operators want explained.
--- a/crates/pick/src/desk.rs
+++ b/crates/pick/src/desk.rs
@@ -17,6 +17,8 @@
 
 /// How much longer a peer's request must have waited to go before an own one.
 const PREFER: Span = Span::millis(5);
+/// How long after it was counted a measuring request may be made.
+const PROMPT: Span = Span::millis(50);
 /// Connections that an entry keeps ready to each worker whose home is another.
 const READY: u32 = 3;
 
@@ -33,6 +35,8 @@
     /// When a home was last asked for slots.
     pub(crate) asked: Time,
     pub(crate) daemons: u32,
+    /// The number of the view that the seats were made from.
+    epoch: u64,
     extra: Extra,
     /// Until when this daemon may feed cold workers and measure.
     pub(crate) feed: Time,
@@ -53,6 +57,7 @@
         Self {
             asked: Time::ZERO,
             daemons: 1,
+            epoch: 0,
             extra: Extra::new(spec.extra),
             feed: Time::ZERO,
             held: Map::default(),
@@ -69,21 +74,41 @@
     pub fn step(&mut self, now: Time, event: Event, rng: &mut Rng, out: &mut Vec<Action>) {
         match event {
             Event::Arrive(job) => self.arrive(now, job, rng, out),
-            Event::Dialed { boot, worker } => self.dialed(now, &worker, boot, out),
+            Event::Dialed {
+                ahead,
+                boot,
+                worker,
+            } => {
+                self.dial_ended(&worker, ahead);
+                self.dialed(now, &worker, boot, out);
+            }
             Event::End {
                 id,
                 reuse,
                 verdict,
                 worker,
             } => self.end(now, id, &worker, verdict, reuse, out),
-            Event::Feed(until) => self.permit(now, until),
+            Event::Feed { epoch, until } if epoch == self.epoch => self.permit(now, until),
+            Event::Feed { .. } => {}
             Event::Hedge { job, not } => self.hedge(now, job, &not, rng, out),
             Event::Leave(id) => drop(self.withdraw(id)),
             Event::Lost { conns, worker } => self.lost(&worker, conns),
             Event::Peer(from, msg) => self.peer(now, &from, msg, out),
             Event::PeerUp(peer) => self.introduce(&peer, out),
             Event::Retry { free, job, not } => self.retry(now, free, job, not, rng, out),
-            Event::Seats { daemons, seats } => self.seats(now, daemons, seats, out),
+            Event::Seats {
+                daemons,
+                epoch,
+                seats,
+            } => {
+                if epoch != self.epoch {
+                    // The permission was for the earlier view's homes.
+                    self.epoch = epoch;
+                    self.feed = Time::ZERO;
+                }
+                self.seats(now, daemons, seats, out);
+            }
+            Event::Skipped(worker) => self.dial_ended(&worker, true),
             Event::Spec(spec) => self.respec(spec),
             Event::Tick => self.tick(now, out),
         }
@@ -216,7 +241,7 @@
         let cold = worker.mine && !worker.ramp.warm() && !alone;
         out.push(Action::Assign {
             boot: worker.boot.filter(|_| !alone),
-            dial,
+            dial: dial.then(|| now + PROMPT),
             expires: cold.then(|| feed.min(job.deadline)),
             id: job.id,
             worker: worker.name().clone(),
@@ -327,11 +352,16 @@
         }
     }
 
+    fn dial_ended(&mut self, name: &str, ahead: bool) {
+        if let Some(worker) = self.worker(name) {
+            worker.dialing = worker.dialing.saturating_sub(u32::from(ahead));
+        }
+    }
+
     fn dialed(&mut self, now: Time, name: &str, boot: Option<u64>, out: &mut Vec<Action>) {
         let Some(worker) = self.worker(name) else {
             return;
         };
-        worker.dialing = worker.dialing.saturating_sub(1);
         let Some(boot) = boot else {
             worker.doubt = true;
             worker.health.exclude(now);
@@ -537,7 +567,7 @@
             {
                 worker.dialing += 1;
                 worker.health.tried(now);
-                out.push(Action::Dial(worker.name().clone()));
+                out.push(Action::Dial(worker.name().clone(), now + PROMPT));
             }
         }
     }
--- a/crates/pick/src/event.rs
+++ b/crates/pick/src/event.rs
@@ -11,6 +11,8 @@
     Arrive(Job),
     /// A new connection to a worker was opened and showed this life, or failed.
     Dialed {
+        /// Whether it was opened ahead of requests.
+        ahead: bool,
         /// The worker's life; `None` where no connection could be had.
         boot: Option<u64>,
         /// The worker.
@@ -27,8 +29,13 @@
         /// The worker.
         worker: Name,
     },
-    /// Until when this daemon may feed cold workers and measure.
-    Feed(Time),
+    /// Until when this daemon may feed cold workers and measure, in the view of this number.
+    Feed {
+        /// The view's number; a permission for other seats than the present ones is void.
+        epoch: u64,
+        /// When the permission ends.
+        until: Time,
+    },
     /// A request asks for a second worker while the first one is still at work.
     Hedge {
         /// The request.
@@ -58,12 +65,16 @@
         /// The worker that failed it.
         not: Name,
     },
+    /// It was too late to open a connection ahead of requests.
+    Skipped(Name),
     /// The service's limits changed.
     Spec(Spec),
     /// The workers, or their places, changed; `daemons` share the connections.
     Seats {
         /// Daemons that may connect, at most.
         daemons: u32,
+        /// The number of the view that the seats were made from.
+        epoch: u64,
         /// Every worker of the service.
         seats: Vec<Seat>,
     },
--- a/crates/standin/src/bin/load.rs
+++ b/crates/standin/src/bin/load.rs
@@ -2,7 +2,7 @@
 
 use {
     clap::{Parser, Subcommand},
-    standin::{StandinError, bench, compare, load, scenario::Scenario},
+    standin::{StandinError, bench, compare, load, scenario::Scenario, soak},
     std::{path::PathBuf, process::ExitCode},
 };
 
@@ -40,6 +40,15 @@
         #[arg(long, value_delimiter = ',', default_value = "oracle,lease,alone")]
         ways: Vec<String>,
     },
+    /// Run pairs of failures under calls, by seed, and judge them.
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 0)]
+        seed: u64,
+        /// How many seeds.
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+    },
     /// Run a scenario once.
     Run {
         /// The scenario file.
@@ -81,6 +90,13 @@
                 compare::run(&scenario, &ways, rounds, out.as_deref())?
             );
         }
+        Command::Soak { seed, seeds } => {
+            let (text, good) = soak::run(seed, seeds)?;
+            print!("{text}");
+            if !good {
+                return Err(StandinError::Scenario("a promise was broken".to_owned()));
+            }
+        }
         Command::Run {
             scenario,
             load,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -196,6 +196,47 @@
         Ok(())
     }
 
+    /// Replaces a daemon by a new life at the same addresses while the platform has `faults`.
+    ///
+    /// # Errors
+    /// Fails where it can't be started.
+    pub fn kill_and_revive_in_place(
+        &mut self,
+        index: usize,
+        faults: &Faults,
+    ) -> Result<(), StandinError> {
+        let Some(seat) = self.daemons.get_mut(index) else {
+            return Ok(());
+        };
+        let Some(process) = seat.process.take() else {
+            return Ok(());
+        };
+        let name = seat.name.clone();
+        let mut text = fs::read_to_string(self.dir.join(format!("{name}.ini")))?;
+        for kind in ["callers", "operators", "peers"] {
+            let address = process.address(kind)?;
+            text = text.replace(
+                &format!("{kind} = 127.0.0.1:0"),
+                &format!("{kind} = {address}"),
+            );
+        }
+        drop(process);
+        self.faults(faults)?;
+        let bootstrap = format!("[peers]\nbootstrap = {}\n", self.bootstrap());
+        let text = match text.find("bootstrap = ") {
+            Some(_) => text,
+            None => text.replace("[peers]\n", &bootstrap),
+        };
+        let file = self.dir.join(format!("{name}-again.ini"));
+        fs::write(&file, text)?;
+        let log = self.dir.join(format!("{name}-again.log"));
+        let process = Process::start("anvilferryd", &[file.display().to_string()], &log)?;
+        if let Some(seat) = self.daemons.get_mut(index) {
+            seat.process = Some(process);
+        }
+        Ok(())
+    }
+
     /// Gives the platform the list of all VMs as they now are.
     ///
     /// # Errors
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod process;
 pub mod report;
 pub mod scenario;
+pub mod soak;
 pub mod upstream;
 pub mod worker;
 
