Bound heads that arrive at once; let peers from the settings prove themselves

Cause: bad input at the operators' address showed that a head above the limit was taken if it came in one piece. A daemon that started while the platform was down never got the site: peers from its settings, known by address only, could not prove a name it didn't know. Change: a whole head is held against the limit too; a peer says its name with its proof.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -122,11 +122,17 @@
         .map_err(|_| PeerError::Proof)?;
     let (response, stream) = sender.send_request(request, false)?;
     let response = response.await?;
-    let proof = response.headers().get("anvilferry-proof");
-    let proof = proof
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default();
-    if !session.check(&shared.keys, Side::Server, peer, proof) {
+    let header = |name: &str| {
+        let value = response.headers().get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    };
+    let name = header("anvilferry-name");
+    // A peer from the settings is known by its address until the list names it.
+    let expected = name == &**peer || **peer == *address.to_string();
+    let proven = session.check(&shared.keys, Side::Server, name, header("anvilferry-proof"));
+    if !expected || !proven {
         return Err(PeerError::Proof);
     }
     Ok((stream, driver))
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -118,6 +118,7 @@
         return Err(PeerError::Proof);
     }
     let response = Response::builder()
+        .header("anvilferry-name", &*shared.me)
         .header(
             "anvilferry-proof",
             session.prove(&shared.keys, Side::Server, &shared.me),
--- a/crates/wire/src/conn.rs
+++ b/crates/wire/src/conn.rs
@@ -147,6 +147,9 @@
             let room = self.limits.headers.min(lines.len());
             let mut head = httparse::Request::new(&mut lines[..room]);
             match head.parse(&self.rest) {
+                Ok(httparse::Status::Complete(size)) if size > self.limits.head => {
+                    return Err(WireError::HeadLimit);
+                }
                 Ok(httparse::Status::Complete(size)) => {
                     if head.version != Some(1) {
                         return Err(WireError::Malformed(httparse::Error::Version));
