--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -1,5 +1,7 @@
 //! The tool against a platform that loses answers and is down.
 
+#![allow(clippy::expect_used, clippy::panic, missing_docs)]
+
 use {
     standin::{platform::Faults, process::Process},
     std::{fs, path::PathBuf, process::Command},
--- a/crates/conf/tests/files.rs
+++ b/crates/conf/tests/files.rs
@@ -1,5 +1,7 @@
 //! Service files, settings and edits: what is taken, and what is said of the rest.
 
+#![allow(clippy::expect_used, clippy::panic, missing_docs)]
+
 use {
     conf::{Change, Edit, Generation, Kind, Root, Service, Settings},
     quickcheck::quickcheck,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -18,7 +18,7 @@
     pub(crate) generation: IntGauge,
     /// Hedges and retries sent, by kind.
     pub(crate) extras: IntCounterVec,
-    /// Payload bytes exchanged with peers.
+    /// Bytes exchanged with peers, encryption included.
     pub(crate) peer_bytes: IntGauge,
     /// Calls made to the platform, by how they ended.
     pub(crate) platform: IntGaugeVec,
@@ -61,7 +61,10 @@
                 &["kind"],
             )?,
             generation: IntGauge::new("anvilferry_generation", "The generation in force.")?,
-            peer_bytes: IntGauge::new("anvilferry_peer_bytes", "Bytes exchanged with peers.")?,
+            peer_bytes: IntGauge::new(
+                "anvilferry_peer_bytes",
+                "Bytes exchanged with peers, encryption included.",
+            )?,
             platform: IntGaugeVec::new(
                 Opts::new("anvilferry_platform_calls", "Calls made to the platform."),
                 &["ending"],
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings and key files as the daemon takes them, and the catalogue of its log events.
 
+#![allow(clippy::expect_used, clippy::panic, missing_docs)]
+
 use std::{
     fs,
     os::unix::fs::PermissionsExt,
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -1,5 +1,7 @@
 //! Budgets and queues under arbitrary sequences of events.
 
+#![allow(clippy::expect_used, clippy::panic, missing_docs)]
+
 use {
     limit::{Estimate, Extra, Full, Health, Lane, Pace, Queue, Ramp, Waiting, Window},
     quickcheck::quickcheck,
--- a/crates/once/tests/ledger.rs
+++ b/crates/once/tests/ledger.rs
@@ -1,5 +1,7 @@
 //! At most once, over arbitrary histories and over the model's counter-examples.
 
+#![allow(clippy::expect_used, clippy::panic, missing_docs)]
+
 use {
     once::{Begin, Ledger, Limits, Outcome, Ticket},
     quickcheck::quickcheck,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,6 +1,7 @@
 //! The fleet: who is alive, who is whose home, how the site spreads, and the links between daemons.
 
 mod beat;
+mod counted;
 mod entries;
 mod error;
 mod frame;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,13 +1,15 @@
 use {
     crate::{
-        Frame, PeerError, encode,
+        Frame, PeerError,
+        counted::Counted,
+        encode,
         links::{Incoming, Shared},
         proof::{Session, Side},
     },
     bytes::{BufMut, Bytes, BytesMut},
     h2::{SendStream, client},
     rustls::pki_types::ServerName,
-    std::{future::poll_fn, net::SocketAddr, sync::atomic::Ordering, time::Duration},
+    std::{future::poll_fn, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpStream,
         sync::mpsc::{Receiver, Sender, channel},
@@ -90,7 +92,6 @@
                 None => return Ok(()),
                 Some(frame) => {
                     let bytes = packet(&frame)?;
-                    shared.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
                     let sending = send(&mut stream, bytes);
                     timeout(PATIENCE, sending).await.map_err(|_| PeerError::Timeout)??;
                 }
@@ -104,6 +105,7 @@
 async fn open(peer: &Name, address: SocketAddr, shared: &Shared) -> Result<Opened, PeerError> {
     let socket = TcpStream::connect(address).await?;
     socket.set_nodelay(true)?;
+    let socket = Counted::new(socket, Arc::clone(&shared.bytes));
     let name = ServerName::IpAddress(address.ip().into());
     let tls = shared.connector.connect(name, socket).await?;
     let session = Session::of(tls.get_ref().1)?;
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -50,7 +50,7 @@
 /// What every link of a daemon shares.
 #[derive(Clone)]
 pub(crate) struct Shared {
-    /// Payload bytes sent and received.
+    /// Bytes sent and received, encryption included.
     pub(crate) bytes: Arc<AtomicU64>,
     pub(crate) connector: TlsConnector,
     pub(crate) keys: Keys,
@@ -106,7 +106,7 @@
         self.address
     }
 
-    /// Payload bytes sent to and received from peers so far.
+    /// Bytes sent to and received from peers so far, encryption included.
     pub fn bytes(&self) -> u64 {
         self.bytes.load(Ordering::Relaxed)
     }
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -1,16 +1,15 @@
 use {
     crate::{
-        FRAME_LIMIT, PeerError, decode,
+        FRAME_LIMIT, PeerError,
+        counted::Counted,
+        decode,
         links::{Incoming, Shared},
         proof::{Session, Side},
     },
     bytes::{Buf, BytesMut},
     h2::{RecvStream, server, server::SendResponse},
     http::{Request, Response},
-    std::{
-        sync::{Arc, atomic::Ordering},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
@@ -73,7 +72,7 @@
 
 struct Opened {
     body: RecvStream,
-    connection: server::Connection<tokio_rustls::server::TlsStream<TcpStream>, bytes::Bytes>,
+    connection: server::Connection<tokio_rustls::server::TlsStream<Counted>, bytes::Bytes>,
     name: Name,
     /// Kept, so that the stream stays open.
     response: h2::SendStream<bytes::Bytes>,
@@ -84,6 +83,7 @@
     acceptor: TlsAcceptor,
     shared: &Shared,
 ) -> Result<Opened, PeerError> {
+    let socket = Counted::new(socket, Arc::clone(&shared.bytes));
     let tls = acceptor.accept(socket).await?;
     let session = Session::of(tls.get_ref().1)?;
     let mut connection = server::Builder::new()
@@ -139,7 +139,6 @@
             return Ok(());
         };
         body.flow_control().release_capacity(data.len())?;
-        shared.bytes.fetch_add(data.len() as u64, Ordering::Relaxed);
         rest.extend_from_slice(&data);
         while let Some(packet) = split(&mut rest)? {
             let frame = decode(&packet)?;
--- a/crates/peer/tests/wire.rs
+++ b/crates/peer/tests/wire.rs
@@ -1,5 +1,7 @@
 //! Frames, spreading and places, over arbitrary input.
 
+#![allow(clippy::expect_used, clippy::panic, missing_docs)]
+
 use {
     conf::{Bundle, Generation},
     peer::{Candidate, Spread, Update, decode, encode, entries, home, merge, update_for},
--- a/crates/pick/src/lend.rs
+++ b/crates/pick/src/lend.rs
@@ -9,7 +9,7 @@
 };
 
 /// Between two times of asking for slots.
-const ASK: Span = Span::millis(7);
+const ASK: Span = Span::millis(15);
 /// How long what a peer lacks is taken for true.
 const WANT: Span = Span::millis(25);
 /// Homes that are asked at a time.
--- a/crates/pick/src/lent.rs
+++ b/crates/pick/src/lent.rs
@@ -10,7 +10,7 @@
 /// How often a borrower says what it still holds.
 pub(crate) const RENEW: Span = Span::millis(300);
 /// How long a borrower keeps slots that it doesn't use.
-pub(crate) const KEEP: Span = Span::millis(20);
+pub(crate) const KEEP: Span = Span::millis(100);
 
 /// Slots that a home has lent.
 #[derive(Clone, Debug, PartialEq, Serialize)]
--- a/crates/plat/tests/publish.rs
+++ b/crates/plat/tests/publish.rs
@@ -1,5 +1,7 @@
 //! Publishing against a platform that loses answers, is down, and other operators.
 
+#![allow(clippy::expect_used, clippy::panic, missing_docs)]
+
 use {
     conf::{Change, Edit, Generation, Root},
     fastrand::Rng,
--- a/crates/standin/src/bin/load.rs
+++ b/crates/standin/src/bin/load.rs
@@ -2,7 +2,7 @@
 
 use {
     clap::{Parser, Subcommand},
-    standin::{StandinError, bench, compare, load, scenario::Scenario, soak},
+    standin::{StandinError, bench, compare, load, moves, scenario::Scenario, slopes, soak},
     std::{path::PathBuf, process::ExitCode},
 };
 
@@ -23,6 +23,8 @@
         #[arg(long, default_value_t = 5)]
         seconds: u64,
     },
+    /// Make chains of 15 calls whose last service breaks, and count how often it ran.
+    Chain,
     /// Run a scenario in several ways in turn and print their ratios.
     Compare {
         /// The scenario file.
@@ -40,6 +42,13 @@
         #[arg(long, value_delimiter = ',', default_value = "oracle,lease,alone")]
         ways: Vec<String>,
     },
+    /// Measure how a daemon's cost grows with peers, services and workers.
+    Slopes,
+    /// Run a scenario at rest, then with a data centre out and in.
+    Move {
+        /// The scenario file.
+        scenario: PathBuf,
+    },
     /// Run pairs of failures under calls, by seed, and judge them.
     Soak {
         /// The first seed.
@@ -90,6 +99,11 @@
                 compare::run(&scenario, &ways, rounds, out.as_deref())?
             );
         }
+        Command::Chain => print!("{}", moves::chain()?),
+        Command::Move { scenario } => {
+            print!("{}", moves::data_centre(&read(&scenario, None)?)?);
+        }
+        Command::Slopes => print!("{}", slopes::run()?),
         Command::Soak { seed, seeds } => {
             let (text, good) = soak::run(seed, seeds)?;
             print!("{text}");
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -1,12 +1,14 @@
 //! One worker: slots, a queue, slow start, stalls, and the log of what it ran.
 
 use {
+    attohttpc::header::HeaderName,
     back::{Ready, wait},
     parking_lot::{Condvar, Mutex},
     serde::{Deserialize, Serialize},
     std::{
         collections::{HashMap, VecDeque},
         net::TcpStream,
+        str::FromStr,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     wire::{Request, Response},
@@ -70,6 +72,8 @@
     pub ran: u64,
     /// How often each idempotency key was run.
     pub keys: HashMap<String, u64>,
+    /// Requests run that were the last level of a chain of calls.
+    pub last_level: u64,
     /// The latest time at which it began to run a request, in milliseconds since the Unix epoch.
     pub last_ms: u64,
     /// Times at which it held more than it bore while cold.
@@ -250,7 +254,7 @@
         self.end(life, begun, &work);
         match work {
             Work::Cancelled => None,
-            Work::Done => Some(answer(request)),
+            Work::Done => follow(request),
             Work::Expired => Some(Response::text(504, "expired")),
         }
     }
@@ -279,6 +283,9 @@
         let mut state = self.state.lock();
         state.count.ran += 1;
         state.count.last_ms = unix_millis();
+        if request.headers.get("x-chain") == Some("0") {
+            state.count.last_level += 1;
+        }
         if let Some(key) = request.headers.get("idempotency-key") {
             *state.count.keys.entry(key.to_owned()).or_default() += 1;
         }
@@ -350,6 +357,41 @@
     }
 }
 
+/// The answer of work that may have calls of its own: `X-Chain` says how many levels are below,
+/// `X-Next` which daemon to call; the last level breaks off where `X-Break` says so.
+fn follow(request: &Request) -> Option<Response> {
+    let header = |name: &str| request.headers.get(name);
+    let below: u32 = header("x-chain")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or_default();
+    let Some(next) = header("x-next") else {
+        return Some(answer(request));
+    };
+    if below == 0 {
+        return header("x-break").is_none().then(|| answer(request));
+    }
+    let mut call = attohttpc::get(format!("http://{next}/s/submissions{}", request.target));
+    for name in [
+        "x-next",
+        "x-break",
+        "x-work-us",
+        "anvilferry-depth",
+        "anvilferry-extra",
+    ] {
+        if let (Some(value), Ok(name)) = (header(name), HeaderName::from_str(name)) {
+            call = call.header(name, value);
+        }
+    }
+    let called = call
+        .header("x-chain", below - 1)
+        .timeout(Duration::from_secs(10))
+        .send();
+    Some(match called {
+        Ok(response) if response.is_success() => answer(request),
+        _ => Response::text(502, "the call below failed"),
+    })
+}
+
 fn answer(request: &Request) -> Response {
     let text = request.headers.get("x-echo").unwrap_or("done");
     let size = request
--- a/crates/standin/tests/bad_input.rs
+++ b/crates/standin/tests/bad_input.rs
@@ -1,6 +1,8 @@
 //! Bad input at every address of a daemon: a clear answer or a closed connection, no panic, and
 //! other callers are served as before.
 
+#![allow(clippy::expect_used, clippy::panic, missing_docs)]
+
 use {
     standin::{
         caller::{Caller, Ended, Order},
--- a/crates/standin/tests/failures.rs
+++ b/crates/standin/tests/failures.rs
@@ -1,6 +1,8 @@
 //! Failures with real processes, judged by the workers' log of what ran and by the callers' own
 //! log, never by a daemon's word. Every wait is for a condition; only the waits are bounded.
 
+#![allow(clippy::expect_used, clippy::panic, missing_docs)]
+
 use {
     nix::sys::signal::Signal,
     standin::{
