Split the largest files by their jobs; join the orders of dc and vm

Change: endings, seats and dials of a desk, replies, members and reports, and moods stand in files of their own; two commands share one way to make an order.

--- a/crates/cli/src/command/centre.rs
+++ b/crates/cli/src/command/centre.rs
@@ -3,10 +3,9 @@
         command::vm::Way,
         context::Context,
         error::CliError,
-        publisher::{Order, new_id, publish},
+        publisher::{Order, publish},
     },
     conf::Edit,
-    std::collections::BTreeMap,
 };
 
 /// Takes a data centre out, or brings it in.
@@ -29,14 +28,7 @@
 
 impl Centre {
     pub(crate) fn run(&self, context: &Context) -> Result<(), CliError> {
-        let order = Order {
-            by: self.by.clone(),
-            edit: Edit::Centre(self.name.as_str().into(), self.way.is_out()),
-            files: BTreeMap::new(),
-            id: new_id(),
-            seen: None,
-            wait: self.wait,
-        };
-        publish(context, &order)
+        let edit = Edit::Centre(self.name.as_str().into(), self.way.is_out());
+        publish(context, &Order::plain(&self.by, edit, self.wait))
     }
 }
--- a/crates/cli/src/command/vm.rs
+++ b/crates/cli/src/command/vm.rs
@@ -2,11 +2,10 @@
     crate::{
         context::Context,
         error::CliError,
-        publisher::{Order, new_id, publish},
+        publisher::{Order, publish},
     },
     clap::ValueEnum,
     conf::Edit,
-    std::collections::BTreeMap,
 };
 
 /// Which way something goes.
@@ -44,14 +43,7 @@
 
 impl Vm {
     pub(crate) fn run(&self, context: &Context) -> Result<(), CliError> {
-        let order = Order {
-            by: self.by.clone(),
-            edit: Edit::Vm(self.name.as_str().into(), self.way.is_out()),
-            files: BTreeMap::new(),
-            id: new_id(),
-            seen: None,
-            wait: self.wait,
-        };
-        publish(context, &order)
+        let edit = Edit::Vm(self.name.as_str().into(), self.way.is_out());
+        publish(context, &Order::plain(&self.by, edit, self.wait))
     }
 }
--- a/crates/cli/src/publisher.rs
+++ b/crates/cli/src/publisher.rs
@@ -25,6 +25,20 @@
     pub(crate) wait: bool,
 }
 
+impl Order {
+    /// An order without files.
+    pub(crate) fn plain(by: &str, edit: Edit, wait: bool) -> Self {
+        Self {
+            by: by.to_owned(),
+            edit,
+            files: BTreeMap::new(),
+            id: new_id(),
+            seen: None,
+            wait,
+        }
+    }
+}
+
 /// A new change's id.
 pub(crate) fn new_id() -> String {
     format!("{:016x}", fastrand::u64(..))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod operators;
 mod platform;
+mod replies;
 mod run;
 mod ticker;
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,7 +8,9 @@
 mod keys;
 mod link;
 mod links;
+mod member;
 mod proof;
+mod report;
 mod serve;
 mod spread;
 mod stage;
@@ -22,7 +24,8 @@
     frame::{Frame, LIMIT as FRAME_LIMIT, decode, encode},
     keys::Keys,
     links::{Incoming, Links},
+    report::{MemberReport, ViewReport},
     spread::{Spread, SpreadAction, Update, merge, update_for},
     stage::{Joining, Leaving, Serving, Stage},
-    view::{MemberReport, View, ViewAction, ViewEvent, ViewReport},
+    view::{View, ViewAction, ViewEvent},
 };
--- a/crates/peer/src/view.rs
+++ b/crates/peer/src/view.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{Beat, Candidate, Standing},
+    crate::{Beat, Candidate, MemberReport, Standing, ViewReport, member::Member},
     serde::Serialize,
     std::collections::{BTreeMap, VecDeque},
     unit::{Name, Span, Time, digest},
@@ -42,23 +42,6 @@
     Changed,
 }
 
-#[derive(Clone, Debug)]
-struct Member {
-    centre: Name,
-    /// When it was last heard.
-    heard: Option<Time>,
-    life: u64,
-    /// Heartbeats since it was last gone.
-    run: u32,
-    /// The number of the last heartbeat from it.
-    seq: u64,
-    standing: Standing,
-    /// The view that it supports, and when the heartbeat that asked for it was sent.
-    support: Option<(u64, Time)>,
-    /// Whether this view counts it as alive.
-    up: bool,
-}
-
 /// Who is alive, as one daemon sees it, and when it may act alone for its workers.
 ///
 /// A daemon may feed cold workers and use a home's measuring budget only while a majority of the
@@ -321,59 +304,3 @@
         }
     }
 }
-
-impl Member {
-    fn new(centre: Name) -> Self {
-        Self {
-            centre,
-            heard: None,
-            life: 0,
-            run: 0,
-            seq: 0,
-            standing: Standing::Joining,
-            support: None,
-            up: false,
-        }
-    }
-
-    fn serves(&self) -> bool {
-        self.up && self.standing == Standing::Serving
-    }
-
-    fn drop_out(&mut self) {
-        self.run = 0;
-        self.seq = 0;
-        self.support = None;
-        self.up = false;
-    }
-}
-
-/// A view's state, for the dump.
-#[derive(Clone, Debug, Serialize)]
-pub struct ViewReport {
-    /// How much longer this daemon may feed cold workers, in milliseconds.
-    pub feed_ms: u64,
-    /// The listed daemons but this one.
-    pub members: Vec<MemberReport>,
-    /// Whether the view has lasted long enough to be relied on.
-    pub settled: bool,
-    /// Where this daemon is in its life.
-    pub standing: Standing,
-}
-
-/// A member's state, for the dump.
-#[derive(Clone, Debug, Serialize)]
-pub struct MemberReport {
-    /// Its data centre.
-    pub centre: Name,
-    /// Milliseconds since it was last heard.
-    pub heard_ms: Option<u64>,
-    /// Its life.
-    pub life: u64,
-    /// Its name.
-    pub name: Name,
-    /// Where it is in its life.
-    pub standing: Standing,
-    /// Whether it counts as alive.
-    pub up: bool,
-}
--- a/crates/pick/src/desk.rs
+++ b/crates/pick/src/desk.rs
@@ -1,30 +1,24 @@
 use {
     crate::{
-        Action, Decision, DeskReport, Event, Job, Refusal, Seat, Spec, Verdict, WorkerReport,
-        choose::Choice, lent::Wanted, worker::Worker,
+        Action, Decision, DeskReport, Event, Job, Refusal, Spec, WorkerReport, choose::Choice,
+        lent::Wanted, worker::Worker,
     },
     fastrand::Rng,
     limit::{Extra, Full, Quantile, Queue, Waiting},
     unit::{Map, Name, Span, Time},
 };
 
-/// How long a worker that refused work gets none.
-const SHED: Span = Span::millis(20);
-/// How long a worker that said it is leaving gets none.
-const DRAINING: Span = Span::secs(5);
 /// How long a caller should stay away where no worker is open.
 const NOBODY: Span = Span::secs(1);
 
 /// How much longer a peer's request must have waited to go before an own one.
 const PREFER: Span = Span::millis(5);
 /// How long after it was counted a measuring request may be made.
-const PROMPT: Span = Span::millis(50);
-/// Connections that an entry keeps ready to each worker whose home is another.
-const READY: u32 = 3;
+pub(crate) const PROMPT: Span = Span::millis(50);
 
 /// A request that waits, with the worker that it must not get.
 #[derive(Clone, Debug)]
-struct Held {
+pub(crate) struct Held {
     job: Job,
     not: Option<Name>,
 }
@@ -37,11 +31,11 @@
     pub(crate) daemons: u32,
     /// The number of the view that the seats were made from.
     epoch: u64,
-    extra: Extra,
+    pub(crate) extra: Extra,
     /// Until when this daemon may feed cold workers and measure.
     pub(crate) feed: Time,
     /// The requests in the queue.
-    held: Map<u64, Held>,
+    pub(crate) held: Map<u64, Held>,
     pub(crate) latency: Quantile,
     pub(crate) me: Name,
     pub(crate) queue: Queue,
@@ -328,19 +322,6 @@
         self.place(now, job, Some(not), rng, out);
     }
 
-    /// Notes until when this daemon may feed cold workers and measure.
-    ///
-    /// Where it gains the permission, another home may have used up the budgets just before.
-    fn permit(&mut self, now: Time, until: Time) {
-        let gained = !self.may_feed(now) && until > now;
-        self.feed = until;
-        if gained {
-            for worker in &mut self.workers {
-                worker.window.fill(now);
-            }
-        }
-    }
-
     fn withdraw(&mut self, id: u64) -> bool {
         self.held.remove(&id);
         self.queue.remove(id)
@@ -352,191 +333,6 @@
         }
     }
 
-    fn dial_ended(&mut self, name: &str, ahead: bool) {
-        if let Some(worker) = self.worker(name) {
-            worker.dialing = worker.dialing.saturating_sub(u32::from(ahead));
-        }
-    }
-
-    fn dialed(&mut self, now: Time, name: &str, boot: Option<u64>, out: &mut Vec<Action>) {
-        let Some(worker) = self.worker(name) else {
-            return;
-        };
-        let Some(boot) = boot else {
-            worker.doubt = true;
-            worker.health.exclude(now);
-            return;
-        };
-        worker.idle += 1;
-        worker.doubt = false;
-        worker.seen = now;
-        let fresh = worker.reborn(boot);
-        let mine = worker.mine;
-        let worker = worker.name().clone();
-        if fresh && mine {
-            out.push(Action::Note(Decision::Cold {
-                why: "another life",
-                worker: worker.clone(),
-            }));
-            out.push(Action::Tell(self.news(&worker)));
-        } else if fresh {
-            self.report_doubt(&worker, out);
-        }
-    }
-
-    fn end(
-        &mut self,
-        now: Time,
-        id: u64,
-        name: &Name,
-        verdict: Verdict,
-        reuse: bool,
-        out: &mut Vec<Action>,
-    ) {
-        let usual = self.latency.middle().unwrap_or_default();
-        let patience = self.patience();
-        let Some(worker) = self.worker(name) else {
-            return;
-        };
-        let sent = worker.flying.iter().position(|(_, flying)| *flying == id);
-        let sent = sent.and_then(|at| worker.flying.remove(at));
-        worker.idle += u32::from(reuse);
-        match verdict {
-            Verdict::Answered(span) => self.answered(now, name, span, usual, out),
-            Verdict::Erred(_) => {
-                worker.seen = now;
-                self.failed(now, name, out);
-            }
-            Verdict::Cancelled => {
-                // A lower bound of what the answer would have taken.
-                let span = sent.map_or(Span::ZERO, |(at, _)| now - at);
-                if span > patience && usual > Span::ZERO {
-                    worker.ratio.add(span.as_secs() / usual.as_secs());
-                }
-            }
-            Verdict::Draining => worker.rest = now + DRAINING,
-            Verdict::Shed => {
-                worker.seen = now;
-                worker.rest = now + SHED;
-            }
-            Verdict::Unconnected => worker.idle = 0,
-            Verdict::Failed | Verdict::Silent | Verdict::Unsent => {
-                worker.idle = 0;
-                worker.doubt |= verdict != Verdict::Silent;
-                out.push(Action::Drop(name.clone()));
-                if verdict == Verdict::Unsent {
-                    self.report_doubt(name, out);
-                } else {
-                    self.failed(now, name, out);
-                }
-            }
-        }
-    }
-
-    fn answered(&mut self, now: Time, name: &Name, span: Span, usual: Span, out: &mut Vec<Action>) {
-        self.latency.add(span);
-        let Some(worker) = self.worker(name) else {
-            return;
-        };
-        let (was_slow, was_warm) = (worker.ratio.slow(), worker.ramp.warm());
-        worker.seen = now;
-        // Every connection leads to the life that was last seen.
-        worker.doubt = false;
-        worker.health.good();
-        if usual > Span::ZERO {
-            worker.ratio.add(span.as_secs() / usual.as_secs());
-        }
-        if worker.mine {
-            worker.ramp.good();
-        }
-        if worker.ratio.slow() && !was_slow {
-            out.push(Action::Note(Decision::Slow(name.clone())));
-        }
-        if worker.ramp.warm() && !was_warm {
-            out.push(Action::Note(Decision::Warm(name.clone())));
-            out.push(Action::Tell(self.news(name)));
-        }
-    }
-
-    fn failed(&mut self, now: Time, name: &Name, out: &mut Vec<Action>) {
-        let Some(worker) = self.worker(name) else {
-            return;
-        };
-        if !worker.health.bad(now) {
-            return;
-        }
-        out.push(Action::Note(Decision::Failing(name.clone())));
-        if worker.mine {
-            worker.ramp.bad();
-            out.push(Action::Note(Decision::Cold {
-                why: "a run of failures",
-                worker: name.clone(),
-            }));
-        }
-    }
-
-    fn seats(&mut self, now: Time, daemons: u32, mut seats: Vec<Seat>, out: &mut Vec<Action>) {
-        let before = self
-            .workers
-            .iter()
-            .filter(|worker| worker.seat.open)
-            .count();
-        self.daemons = daemons;
-        seats.sort_by(|a, b| a.name.cmp(&b.name));
-        let mut old = std::mem::take(&mut self.workers);
-        for seat in seats {
-            let at = old.iter().position(|worker| *worker.name() == seat.name);
-            let mut worker = match at {
-                Some(at) => old.swap_remove(at),
-                None => Worker::new(now, seat.clone(), &self.spec),
-            };
-            let mine = seat.home.as_ref() == Some(&self.me);
-            if mine && !worker.mine {
-                out.push(Action::Note(Decision::Home(seat.name.clone())));
-            }
-            if mine != worker.mine {
-                worker.lent.clear();
-                worker.lease = crate::lent::Lease::default();
-            }
-            worker.mine = mine;
-            worker.seat = seat;
-            self.workers.push(worker);
-        }
-        for gone in old {
-            out.push(Action::Drop(gone.name().clone()));
-        }
-        let after = self
-            .workers
-            .iter()
-            .filter(|worker| worker.seat.open)
-            .count();
-        if after < before {
-            self.shed(out);
-        }
-    }
-
-    /// Refuses deferrable requests that wait, so that the workers that stay have room.
-    fn shed(&mut self, out: &mut Vec<Action>) {
-        let after = self.queue.wait();
-        for waiting in self.queue.shed() {
-            self.held.remove(&waiting.id);
-            out.push(Action::Refuse {
-                after,
-                id: waiting.id,
-                why: Refusal::Leaving,
-            });
-        }
-    }
-
-    fn respec(&mut self, spec: Spec) {
-        self.spec = spec;
-        self.extra.resize(spec.extra);
-        self.queue.resize(spec.queue);
-        for worker in &mut self.workers {
-            worker.resize(&spec);
-        }
-    }
-
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         let after = self.queue.wait();
         for waiting in self.queue.expire(now) {
@@ -550,27 +346,6 @@
         self.dial_ahead(now, out);
         self.renew(now, out);
     }
-
-    /// Opens connections before requests need them: to this daemon's own workers, and where it is
-    /// an entry of the service, to the others.
-    fn dial_ahead(&mut self, now: Time, out: &mut Vec<Action>) {
-        let entry = self.workers.iter().any(|worker| worker.mine);
-        if !self.spec.policy.lends() || !entry {
-            return;
-        }
-        let feed = self.may_feed(now);
-        let (spec, daemons) = (self.spec, self.daemons);
-        for worker in self.workers.iter_mut().filter(|worker| worker.seat.open) {
-            if worker.wants_dial(now, READY)
-                && worker.can_dial(now, &spec, daemons, feed)
-                && worker.dial(now, feed)
-            {
-                worker.dialing += 1;
-                worker.health.tried(now);
-                out.push(Action::Dial(worker.name().clone(), now + PROMPT));
-            }
-        }
-    }
 }
 
 /// A refusal whose time to come back is spread by up to a half, so that callers don't come back
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -3,9 +3,9 @@
 use {
     crate::{
         StandinError,
+        mood::{Count, Mood},
         platform::{Faults, Stats},
         process::Process,
-        worker::{Count, Mood},
     },
     conf::{Role, Standing, Vm},
     nix::sys::signal::Signal,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod load;
+pub mod mood;
 pub mod moves;
 pub mod platform;
 pub mod process;
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -6,8 +6,8 @@
         caller::{Caller, Ended, Order},
         demo,
         fleet::Fleet,
+        mood::Mood,
         platform::Faults,
-        worker::Mood,
     },
     nix::sys::signal::Signal,
     std::{
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -5,7 +5,8 @@
 use {
     crate::{
         StandinError,
-        worker::{Mood, Shape, Worker},
+        mood::Mood,
+        worker::{Shape, Worker},
     },
     parking_lot::Mutex,
     std::{
--- a/crates/standin/tests/failures.rs
+++ b/crates/standin/tests/failures.rs
@@ -8,9 +8,9 @@
     standin::{
         demo,
         fleet::Fleet,
+        mood::Mood,
         platform::Faults,
         soak::{Calls, Judgement},
-        worker::Mood,
     },
     std::time::Duration,
 };
