Never call not run what a worker may have begun; load a large site within the call budget

Cause: looking into a chain of calls by hand, a read whose worker broke off was answered 'not-run' once the budget of retries was spent. And 'load slopes' waited in vain at 51 services: a fresh daemon reads a text for each, its own budget of 20 calls a second refused the rest, and it began again. Ruled out for the second: the number of daemons (24 and 32 became ready). Change: an attempt notes that a worker may have begun; when no other is to be had it ends as unknown. Reading texts waits for the client's budget.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -57,6 +57,8 @@
     pub(crate) request: Request,
     pub(crate) service: &'a Service,
     pub(crate) sock: &'a TcpStream,
+    /// Whether a worker got it and may have run it, though no answer came.
+    pub(crate) started: bool,
     pub(crate) turns: Receiver<Turn>,
     /// The time that workers took.
     pub(crate) upstream: Span,
@@ -112,10 +114,10 @@
             let left = end.saturating_duration_since(Instant::now());
             match self.turns.recv_timeout(left.min(LOOK)) {
                 Ok(Turn::Go(grant)) => return Ok(grant),
-                Ok(Turn::No(after, why)) => return Err(Ending::NotRun(after, why)),
+                Ok(Turn::No(after, why)) => return Err(self.give_up(after, why)),
                 Err(_) if left.is_zero() => {
                     self.drive(Event::Leave(self.job.id));
-                    return Err(Ending::NotRun(Span::secs(1), Refusal::Deadline));
+                    return Err(self.give_up(Span::secs(1), Refusal::Deadline));
                 }
                 Err(_) if self.caller_gone() => {
                     self.drive(Event::Leave(self.job.id));
@@ -126,6 +128,15 @@
         }
     }
 
+    /// What is known of a request that gets no worker any more.
+    fn give_up(&self, after: Span, why: Refusal) -> Ending {
+        if self.started {
+            Ending::Unknown("a worker may have run it, and no other was to be had")
+        } else {
+            Ending::NotRun(after, why)
+        }
+    }
+
     /// Sends the request to a worker; `false` where no byte has left.
     fn launch(&mut self, grant: Grant) -> bool {
         let Some((conn, reused)) = self.connect(&grant) else {
@@ -287,6 +298,7 @@
         let mut not = None;
         while let Some(at) = self.flights.iter().position(|flight| flight.end <= now) {
             let flight = self.flights.swap_remove(at);
+            self.started = true;
             let verdict = if flight.reused {
                 Verdict::Silent
             } else {
@@ -317,6 +329,7 @@
         let response = match read {
             Ok(response) if self.is_own(&response) => response,
             _ => {
+                self.started = true;
                 self.finish(&worker, Verdict::Failed, false);
                 return self.after_failure(worker);
             }
--- a/crates/daemon/src/flow.rs
+++ b/crates/daemon/src/flow.rs
@@ -211,6 +211,7 @@
             request: upstream_request(request, call, &label),
             service: place.service,
             sock,
+            started: false,
             turns: place.hall.enter(id),
             upstream: Span::ZERO,
             watch: idempotent,
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -5,7 +5,8 @@
     unit::{Span, Time},
 };
 
-/// Out of so many departures one is a deferrable request, however many interactive ones wait.
+/// After so many interactive departures one aged deferrable request goes, however many interactive
+/// ones wait.
 const AGED: u32 = 10;
 /// The longest expected wait with which an interactive request is still let in.
 const PATIENCE: Span = Span::millis(100);
@@ -79,9 +80,14 @@
     /// Takes the next request.
     ///
     /// The oldest interactive one goes first, or the newest where the oldest would miss its
-    /// deadline with `need` still to go.
+    /// deadline with `need` still to go. A deferrable one goes when no interactive one waits, or
+    /// in a small share of the turns once it has waited a quarter of its time.
     pub fn pop(&mut self, now: Time, need: Span) -> Option<(Lane, Waiting)> {
-        let aged = self.streak >= AGED && !self.deferrable.is_empty();
+        let old = self
+            .deferrable
+            .front()
+            .is_some_and(|waiting| waiting.aged(now));
+        let aged = self.streak >= AGED && old;
         if aged || self.interactive.is_empty() {
             self.streak = 0;
             return Some((Lane::Deferrable, self.deferrable.pop_front()?));
--- a/crates/limit/src/waiting.rs
+++ b/crates/limit/src/waiting.rs
@@ -15,6 +15,11 @@
 }
 
 impl Waiting {
+    /// Whether it has waited a quarter of the time that it had.
+    pub fn aged(&self, now: Time) -> bool {
+        now - self.since >= (self.deadline - self.since) / 4
+    }
+
     /// Whether the deadline leaves less than `need`.
     pub fn late(&self, now: Time, need: Span) -> bool {
         now + need >= self.deadline
--- a/crates/plat/src/site.rs
+++ b/crates/plat/src/site.rs
@@ -1,10 +1,15 @@
 use {
     crate::{Client, PlatError},
     conf::{Bundle, Generation, Root, VmList},
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, thread, time::Duration},
     unit::Span,
 };
 
+/// Between two looks whether the budget of calls has room again.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Looks before a read is given up.
+const PATIENCE: u32 = 50;
+
 /// The name of the root object.
 pub const ROOT: &str = "anvilferry.site";
 
@@ -70,8 +75,16 @@
         })
     }
 
+    /// Reads a text; waits for the client's own budget, which a large site exceeds.
     fn text(&self, name: &str) -> Result<String, PlatError> {
-        let object = self.0.read(name)?;
+        let mut read = self.0.read(name);
+        let mut tries = 0;
+        while read == Err(PlatError::Spent) && tries < PATIENCE {
+            tries += 1;
+            thread::sleep(PAUSE);
+            read = self.0.read(name);
+        }
+        let object = read?;
         object
             .map(|object| object.value)
             .ok_or_else(|| PlatError::Invalid {
