--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod hall;
 mod inbox;
 mod journal;
+mod launch;
 mod live;
 mod metrics;
 mod operators;
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -130,8 +130,8 @@
     assert!(all <= 200, "{shares:?}: at most 20% over the whole chain");
 }
 
-#[test]
-fn deferrable_requests_leave_one_in_eleven_times() {
+/// Three deferrable requests and 57 interactive ones, come at once, with 100 seconds each.
+fn mixed() -> Queue {
     let mut queue = Queue::new(100);
     for id in 0..60 {
         let lane = if id < 3 {
@@ -146,6 +146,12 @@
         };
         assert_eq!(queue.push(at(0), lane, waiting), Ok(()));
     }
+    queue
+}
+
+#[test]
+fn deferrable_requests_leave_one_in_eleven_times() {
+    let mut queue = mixed();
     let order: Vec<u64> = std::iter::from_fn(|| queue.pop(at(25_000), Span::ZERO))
         .map(|(_, own)| own.id)
         .collect();
@@ -157,20 +163,7 @@
 
 #[test]
 fn deferrable_requests_that_are_not_aged_wait_for_all_interactive_ones() {
-    let mut queue = Queue::new(100);
-    for id in 0..60 {
-        let lane = if id < 3 {
-            Lane::Deferrable
-        } else {
-            Lane::Interactive
-        };
-        let waiting = Waiting {
-            deadline: at(100_000),
-            id,
-            since: at(0),
-        };
-        assert_eq!(queue.push(at(0), lane, waiting), Ok(()));
-    }
+    let mut queue = mixed();
     let order: Vec<u64> = std::iter::from_fn(|| queue.pop(at(24_000), Span::ZERO))
         .map(|(_, own)| own.id)
         .collect();
