--- /dev/null
+++ b/crates/call/src/event.rs
@@ -0,0 +1,35 @@
+use {
+    crate::{
+        CallId, LinkId,
+        answer::{AskFailure, Told},
+    },
+    site::{Health, Route},
+    std::sync::Arc,
+    unit::Span,
+};
+
+/// A request that a caller sent.
+#[derive(Clone, Debug)]
+pub struct Begin {
+    /// The request.
+    pub call: CallId,
+    /// How long the caller waits; `None` where it doesn't say.
+    pub deadline: Option<Span>,
+    /// Its route.
+    pub route: Arc<Route>,
+}
+
+/// What happened to a request.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A request to a worker ended.
+    Answered(LinkId, Told),
+    /// A worker told whether it has room.
+    Asked(LinkId, Result<Health, AskFailure>),
+    /// A request arrived whole.
+    Begin(Begin),
+    /// The caller went away.
+    Gone(CallId),
+    /// Time passed.
+    Tick,
+}
--- /dev/null
+++ b/crates/call/src/lib.rs
@@ -0,0 +1,22 @@
+//! The life of a caller's request: which worker it goes to, when it is sent again, and what the
+//! caller is told. A state machine without sockets or clocks: events in, actions out.
+
+mod action;
+mod answer;
+mod call;
+mod desk;
+mod event;
+mod id;
+mod note;
+mod policy;
+mod split;
+
+pub use {
+    action::{Action, Refusal},
+    answer::{Answer, AskFailure, Told},
+    desk::Desk,
+    event::{Begin, Event},
+    id::{CallId, LinkId},
+    note::{Note, Step},
+    policy::Policy,
+};
--- /dev/null
+++ b/crates/call/src/note.rs
@@ -0,0 +1,55 @@
+use {
+    crate::{Answer, AskFailure, CallId, Refusal},
+    pick::Key,
+    site::Load,
+    unit::Span,
+};
+
+/// A decision about a request, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Note {
+    /// The request.
+    pub call: CallId,
+    /// The time since it arrived.
+    pub elapsed: Span,
+    /// What was decided.
+    pub step: Step,
+}
+
+/// What was decided about a request, and by which inputs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// A worker's answer ends it, or lets it go on.
+    Answered {
+        /// How the request to the worker ended.
+        answer: Answer,
+        /// The worker.
+        worker: Key,
+    },
+    /// A worker was asked and not taken.
+    Passed {
+        /// Why it did not answer; `None` where it answered.
+        failure: Option<AskFailure>,
+        /// What it said.
+        load: Option<Load>,
+        /// The worker.
+        worker: Key,
+    },
+    /// The caller gets an answer of the product's own.
+    Refused(Refusal),
+    /// It is sent to a worker.
+    Sent {
+        /// How many times it was sent before.
+        before: u32,
+        /// Whether the worker is cold.
+        cold: bool,
+        /// When the answer is expected.
+        expected: Span,
+        /// What the worker said.
+        load: Option<Load>,
+        /// The worker.
+        worker: Key,
+    },
+    /// No worker has room; it waits.
+    Waits(Span),
+}
--- /dev/null
+++ b/crates/call/src/policy.rs
@@ -0,0 +1,29 @@
+use {conf::Bounds, unit::Span};
+
+/// The settings of the decisions about requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Policy {
+    /// What the users allow the fleet.
+    pub bounds: Bounds,
+    /// Workers that one request asks for room before it settles for the best of them.
+    pub asks: usize,
+    /// How long a worker's health endpoint may take.
+    pub ask_time: Span,
+    /// The part of the retry share that may go to requests sent again for slowness alone.
+    pub hedge_part: f64,
+    /// How long a request waits before it asks again, where no worker has room.
+    pub pause: Span,
+}
+
+impl Policy {
+    /// The usual policy within the users' bounds.
+    pub const fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            asks: 6,
+            ask_time: Span::millis(40),
+            hedge_part: 0.5,
+            pause: Span::millis(10),
+        }
+    }
+}
--- a/crates/cli/src/main.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! The operators' tool.
-
-fn main() -> std::process::ExitCode {
-    cli::run()
-}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,33 +1,7 @@
-//! Settings of a daemon, service files, and the site that operators publish.
+//! A daemon's settings and the operators' site files.
 
-mod bundle;
-mod change;
-mod class;
-mod conflict;
-mod doc;
-mod edit;
-mod kind;
-mod priority;
-mod problem;
-mod root;
-mod service;
+mod bounds;
+mod listen;
 mod settings;
-mod vm;
 
-pub use {
-    bundle::Bundle,
-    change::Change,
-    class::Class,
-    conflict::Conflict,
-    edit::Edit,
-    kind::Kind,
-    priority::Priority,
-    problem::{Problem, Problems},
-    root::{Generation, Root},
-    service::Service,
-    settings::{Policy, Settings},
-    vm::{Role, Standing, Vm, VmList},
-};
-
-/// The longest object that the platform holds, in bytes.
-pub const OBJECT_LIMIT: usize = 1 << 20;
+pub use {bounds::Bounds, listen::Listen, settings::Settings};
--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -1,13 +1,14 @@
 use {clap::Parser, std::path::PathBuf};
 
-/// Serves callers on one entry VM of an anvilferry fleet.
+/// Serves callers' requests on this VM.
 #[derive(Debug, Parser)]
 #[command(name = "anvilferryd", version)]
 pub(crate) struct Arguments {
-    /// Check the settings and exit.
-    #[arg(long)]
-    pub(crate) check: bool,
+    /// Port of this VM's address on which metrics are served beside the operators' address.
+    #[arg(long, value_name = "PORT")]
+    pub(crate) metrics_port: Option<u16>,
 
-    /// The settings file.
-    pub(crate) settings: PathBuf,
+    /// Settings file, in place of the one that the environment names.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) settings: Option<PathBuf>,
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,273 +1,420 @@
 use {
     crate::{
-        event::{Event, log},
-        hall::{Hall, spec},
-        journal::{Entry, Journal},
-        live::Live,
+        channel::Channel,
+        conn::{Conn, Kind},
+        error::DaemonError,
+        event::{self, Event},
+        listeners::{DATAGRAMS, Door, FIRST_CONN, Listeners},
+        log::Log,
         metrics::Metrics,
+        options::LINGER,
+        requests::Ticket,
+        shutdown::Shutdown,
+        signals::Signals,
+        timers::Timers,
+        workers::{Link, Pool},
     },
-    arc_swap::ArcSwap,
-    back::Pool,
-    conf::{Bundle, Generation, Settings, VmList},
-    crossbeam::channel::{Sender, TrySendError},
-    once::Ledger,
-    parking_lot::Mutex,
-    peer::{Frame, Links, Spread, Standing, View},
-    pick::{Action, Decision, Event as DeskEvent},
-    plat::Client,
+    call::{CallId, Desk, LinkId, Policy},
+    conf::Settings,
+    mio::{Events, Interest, Poll, Token, net::TcpStream},
+    peer::{PERIOD, Roster, Stage},
+    pick::{Key, Table},
+    serde_json::{Value, json},
+    site::{Config, View},
+    slab::Slab,
     std::{
-        sync::{
-            Arc,
-            atomic::{AtomicBool, AtomicU64, Ordering},
-        },
-        time::{Duration, Instant},
+        collections::VecDeque,
+        io::{self, ErrorKind},
+        net::SocketAddrV4,
+        sync::Arc,
+        time::Duration,
     },
-    unit::{Clock, Map, Name, Span, Time},
-    wire::Response,
+    store::Client,
+    unit::{Clock, Map, Name, Set, Span, Time},
+    wire::Ending,
 };
 
-/// How long after its last answer the platform counts as reachable.
-const REACH: Span = Span::secs(5);
+const EVENTS: usize = 256;
 
-/// What all threads of the daemon share.
+/// The daemon's process.
 pub(crate) struct Daemon {
-    pub(crate) client: Client,
+    /// Daemons that were alive when that was last looked at.
+    pub(crate) alive: Set<Name>,
+    pub(crate) calls: Map<CallId, Ticket>,
     pub(crate) clock: Clock,
-    /// Closed at the end, which ends the dialers.
-    dials: Mutex<Option<Sender<Dial>>>,
-    /// Requests in progress.
-    pub(crate) flying: AtomicU64,
-    pub(crate) isolated: AtomicBool,
-    pub(crate) journal: Journal,
-    pub(crate) ledger: Mutex<Ledger<Response>>,
-    pub(crate) life: u64,
-    pub(crate) links: Links,
-    pub(crate) live: ArcSwap<Live>,
-    pub(crate) metrics: Metrics,
-    next: AtomicU64,
-    /// When the platform last answered, in microseconds of the clock; 0 for never.
-    pub(crate) platform_ok: AtomicU64,
-    pub(crate) pool: Pool,
-    /// Held while the site or the list is replaced.
-    replace: Mutex<()>,
-    /// Held while desks are told their seats, so that they learn of the newest view last.
-    pub(crate) seating: Mutex<()>,
-    pub(crate) settings: Settings,
-    pub(crate) spread: Mutex<Spread>,
-    pub(crate) standing: Mutex<Standing>,
-    pub(crate) started: Instant,
-    pub(crate) view: Mutex<View>,
-}
-
-/// A connection that is to be opened ahead of requests.
-pub(crate) struct Dial {
-    pub(crate) hall: Arc<Hall>,
-    /// Nothing may be asked on it after this time.
-    pub(crate) until: Time,
-    pub(crate) worker: Name,
-}
-
-/// What a daemon is made of.
-pub(crate) struct Parts {
-    pub(crate) clock: Clock,
-    pub(crate) dials: Sender<Dial>,
-    pub(crate) ledger: Ledger<Response>,
-    pub(crate) life: u64,
-    pub(crate) links: Links,
+    /// Connections of callers that are open.
+    pub(crate) callers: usize,
+    pub(crate) config: Option<Arc<Config>>,
+    pub(crate) conns: Slab<Conn>,
+    pub(crate) desk: Desk,
+    /// Events for the desk that arose while its actions were carried out.
+    pub(crate) desk_events: VecDeque<call::Event>,
+    /// Whether something is being fetched from another daemon.
+    pub(crate) fetching: bool,
+    pub(crate) links: Map<LinkId, Link>,
+    pub(crate) listeners: Listeners,
+    pub(crate) log: Log,
     pub(crate) metrics: Metrics,
+    pub(crate) next_beat: Time,
+    pub(crate) next_call: u64,
+    next_serial: u64,
+    pub(crate) poll: Poll,
+    pub(crate) pools: Map<Key, Pool>,
+    pub(crate) roster: Roster,
     pub(crate) settings: Settings,
+    pub(crate) shutdown: Shutdown,
+    signals: Signals,
+    pub(crate) stage: Stage,
+    pub(crate) store: Client,
+    pub(crate) store_calls: Map<store::CallId, usize>,
+    /// Connections to the store that are free.
+    pub(crate) store_idle: Vec<usize>,
+    pub(crate) timers: Timers,
+    pub(crate) view: View,
 }
 
 impl Daemon {
-    pub(crate) fn new(parts: Parts) -> Self {
-        let settings = parts.settings;
-        let client = Client::new(settings.platform.clone(), settings.timeout, settings.calls);
-        let now = parts.clock.now();
-        Self {
-            client,
-            clock: parts.clock,
-            dials: Mutex::new(Some(parts.dials)),
-            flying: AtomicU64::new(0),
-            isolated: AtomicBool::new(false),
-            journal: Journal::default(),
-            ledger: Mutex::new(parts.ledger),
-            life: parts.life,
-            links: parts.links,
-            live: ArcSwap::from_pointee(Live::empty()),
-            metrics: parts.metrics,
-            next: AtomicU64::new(1),
-            platform_ok: AtomicU64::new(0),
-            pool: Pool::default(),
-            replace: Mutex::new(()),
-            seating: Mutex::new(()),
-            spread: Mutex::default(),
-            standing: Mutex::new(Standing::Joining),
-            started: Instant::now(),
-            view: Mutex::new(View::new(now, settings.name.clone(), parts.life)),
+    pub(crate) fn start(
+        settings: Settings,
+        metrics_port: Option<u16>,
+    ) -> Result<Self, DaemonError> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let poll = Poll::new()?;
+        let listen = &settings.listen;
+        let mut doors = vec![
+            (Door::Callers, listen.callers),
+            (Door::Ready, listen.ready),
+            (Door::Directory, listen.directory),
+        ];
+        doors.extend(listen.operators.map(|address| (Door::Operators, address)));
+        doors.extend(
+            metrics_port.map(|port| (Door::Operators, SocketAddrV4::new(settings.ip, port))),
+        );
+        let port = settings.peer_ports.0;
+        doors.push((Door::Peers, SocketAddrV4::new(settings.ip, port)));
+        let listeners = Listeners::open(&poll, &doors, (settings.ip, port))?;
+        let own = platform::MemberEntry {
+            centre: settings.centre.clone(),
+            ip: settings.ip,
+            name: settings.name.clone(),
+            port,
+        };
+        let table = Table::new(settings.name.clone(), settings.centre.clone());
+        let policy = Policy::new(settings.bounds);
+        let mut daemon = Self {
+            alive: Set::default(),
+            calls: Map::default(),
+            clock,
+            callers: 0,
+            config: None,
+            conns: Slab::new(),
+            desk: Desk::new(policy, table, fastrand::Rng::new()),
+            desk_events: VecDeque::new(),
+            fetching: false,
+            links: Map::default(),
+            listeners,
+            log: Log::start(settings.name.clone()),
+            metrics: Metrics::new(),
+            next_beat: now,
+            next_call: 0,
+            next_serial: 0,
+            poll,
+            pools: Map::default(),
+            roster: Roster::new(
+                settings.name.clone(),
+                settings.centre.clone(),
+                settings.ip,
+                settings.seeds.clone(),
+                now,
+                fastrand::Rng::new(),
+            ),
+            shutdown: Shutdown::default(),
+            signals: Signals::listen()?,
+            stage: Stage::Starting,
+            store: Client::new(own, now, fastrand::Rng::new()),
+            store_calls: Map::default(),
+            store_idle: Vec::new(),
+            timers: Timers::default(),
+            view: View::default(),
             settings,
+        };
+        daemon.log_start(now);
+        Ok(daemon)
+    }
+
+    /// Serves until the daemon was told to stop and has nothing left to do.
+    pub(crate) fn run(&mut self) -> Result<(), DaemonError> {
+        let mut events = Events::with_capacity(EVENTS);
+        loop {
+            let wait = self.wait(self.clock.now());
+            match self.poll.poll(&mut events, Some(wait)) {
+                Ok(()) => {}
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error.into()),
+            }
+            let now = self.clock.now();
+            self.obey_signals(now);
+            for event in &events {
+                self.ready(now, event.token(), event.is_writable());
+            }
+            self.due(self.clock.now());
+            self.log.flush(now);
+            if self.shutdown.done(now, &self.settings.bounds, self.callers) {
+                self.log
+                    .line(now, event::STOP, json!({"callers": self.callers}));
+                self.log.finish(now);
+                return Ok(());
+            }
         }
     }
 
-    pub(crate) fn now(&self) -> Time {
-        self.clock.now()
+    /// Adds a log line.
+    pub(crate) fn tell(&mut self, now: Time, event: Event, fields: Value) {
+        self.log.line(now, event, fields);
+    }
+
+    /// Connects to an address.
+    pub(crate) fn connect(
+        &mut self,
+        address: SocketAddrV4,
+        kind: Kind,
+        now: Time,
+    ) -> io::Result<usize> {
+        let sock = TcpStream::connect(address.into())?;
+        self.insert(sock, false, kind, now)
     }
 
-    /// A request's id, unique in this life.
-    pub(crate) fn next_id(&self) -> u64 {
-        self.next.fetch_add(1, Ordering::Relaxed)
+    /// Adds a connection.
+    pub(crate) fn insert(
+        &mut self,
+        mut sock: TcpStream,
+        connected: bool,
+        kind: Kind,
+        now: Time,
+    ) -> io::Result<usize> {
+        let entry = self.conns.vacant_entry();
+        let place = entry.key();
+        let token = Token(FIRST_CONN + place);
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut sock, token, interest)?;
+        self.next_serial += 1;
+        entry.insert(Conn {
+            channel: Channel::new(sock, connected, now),
+            due: None,
+            kind,
+            serial: self.next_serial,
+        });
+        Ok(place)
     }
 
-    pub(crate) fn standing(&self) -> Standing {
-        *self.standing.lock()
+    /// Sets the moment at which something is due on a connection.
+    pub(crate) fn set_due(&mut self, place: usize, at: Time) {
+        if let Some(conn) = self.conns.get_mut(place) {
+            conn.due = Some(at);
+            self.timers.set(at, place, conn.serial);
+        }
     }
 
-    /// Whether the platform has answered lately.
-    pub(crate) fn platform_near(&self) -> bool {
-        let at = Time::at(Span::micros(self.platform_ok.load(Ordering::Relaxed)));
-        at > Time::ZERO && self.now() - at < REACH
+    /// Drops a connection; what its purpose was is not told anyone.
+    pub(crate) fn remove(&mut self, place: usize) -> Option<Conn> {
+        let conn = self.conns.try_remove(place)?;
+        if matches!(conn.kind, Kind::Caller(_)) {
+            self.callers -= 1;
+        }
+        Some(conn)
     }
 
-    /// The instant at which a time of this daemon's clock comes.
-    pub(crate) fn instant(&self, time: Time) -> Instant {
-        Instant::now() + Duration::from(time.since(self.now()))
+    /// Sends bytes on a connection; a failure shows when the connection is next read.
+    pub(crate) fn write(&mut self, place: usize, bytes: &[u8], now: Time) -> Result<(), Ending> {
+        match self.conns.get_mut(place) {
+            Some(conn) => conn.channel.write(bytes, now),
+            None => Err(Ending::Closed),
+        }
     }
 
-    /// Gives a service's desk an event and does what it says.
-    pub(crate) fn drive(&self, hall: &Arc<Hall>, event: DeskEvent) {
-        let now = self.now();
-        for action in hall.step(now, event) {
-            self.perform(now, hall, action);
+    /// Closes a connection once the other end has read everything.
+    pub(crate) fn linger(&mut self, place: usize, now: Time) {
+        let Some(conn) = self.conns.get_mut(place) else {
+            return;
+        };
+        if matches!(conn.kind, Kind::Caller(_)) {
+            self.callers -= 1;
         }
+        conn.kind = Kind::Lingering;
+        if !conn.channel.pending() {
+            conn.channel.half_close();
+        }
+        self.set_due(place, now + LINGER);
     }
 
-    fn perform(&self, now: Time, hall: &Arc<Hall>, action: Action) {
-        match action {
-            Action::Assign { .. } | Action::Refuse { .. } => {}
-            Action::Dial(worker, until) => self.dial(hall, worker, until),
-            Action::Drop(worker) => self.pool.drop_all(&worker),
-            Action::Note(decision) => self.note(now, hall, decision),
-            Action::Send(peer, msg) => {
-                let service = hall.name.to_string();
-                self.links.send(peer, Frame::Desk { msg, service });
+    /// Gives the desk an event and carries out what it answers with.
+    pub(crate) fn decide(&mut self, now: Time, event: call::Event) {
+        self.desk_events.push_back(event);
+        while let Some(event) = self.desk_events.pop_front() {
+            let actions = self.desk.step(now, event);
+            self.log_notes(now);
+            for action in actions {
+                self.carry_out(now, action);
             }
-            Action::Tell(msg) => {
-                for peer in self.view.lock().listed_names() {
-                    let service = hall.name.to_string();
-                    let msg = msg.clone();
-                    self.links.send(peer, Frame::Desk { msg, service });
+        }
+    }
+
+    fn wait(&self, now: Time) -> Duration {
+        let next = [
+            Some(self.next_beat),
+            self.desk.next_tick(),
+            self.store.next_tick(),
+            self.timers.next(),
+        ];
+        let next = next.into_iter().flatten().min();
+        next.map_or(PERIOD, |at| at.since(now)).into()
+    }
+
+    fn obey_signals(&mut self, now: Time) {
+        if self.signals.take_reload() {
+            self.reload(now);
+        }
+        if self.signals.stop() && self.stage != Stage::Leaving {
+            self.leave(now);
+        }
+    }
+
+    fn ready(&mut self, now: Time, token: Token, writable: bool) {
+        if token == DATAGRAMS {
+            self.read_datagrams(now);
+        } else if token.0 < FIRST_CONN {
+            self.accept(now, token);
+        } else {
+            self.conn_ready(now, token.0 - FIRST_CONN, writable);
+        }
+    }
+
+    fn accept(&mut self, now: Time, token: Token) {
+        loop {
+            let Some((door, listener)) = self.listeners.door(token) else {
+                return;
+            };
+            match listener.accept() {
+                Ok((sock, _)) => self.admit(now, door, sock),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => {
+                    let fields = json!({"reason": error.to_string()});
+                    self.tell(now, event::ACCEPT_FAILED, fields);
+                    return;
                 }
             }
         }
     }
 
-    fn dial(&self, hall: &Arc<Hall>, worker: Name, until: Time) {
-        let dial = Dial {
-            hall: Arc::clone(hall),
-            until,
-            worker,
-        };
-        let full = match &*self.dials.lock() {
-            Some(dials) => dials.try_send(dial).err().map(TrySendError::into_inner),
-            None => Some(dial),
+    fn admit(&mut self, now: Time, door: Door, sock: TcpStream) {
+        let kind = match door {
+            Door::Callers => match self.new_caller(now) {
+                Some(kind) => kind,
+                None => return,
+            },
+            Door::Directory | Door::Operators | Door::Ready => self.new_admin(door),
+            Door::Peers => Self::new_serving(),
         };
-        if let Some(dial) = full {
-            self.drive(&dial.hall, DeskEvent::Skipped(dial.worker));
+        let caller = matches!(kind, Kind::Caller(_));
+        match self.insert(sock, true, kind, now) {
+            Ok(place) => {
+                self.callers += usize::from(caller);
+                self.first_due(now, place);
+            }
+            Err(error) => {
+                let fields = json!({"reason": error.to_string()});
+                self.tell(now, event::ACCEPT_FAILED, fields);
+            }
         }
     }
 
-    /// Closes the links to peers and the channel of connections to be opened.
-    pub(crate) fn close(&self) {
-        drop(self.dials.lock().take());
-        self.links.close();
+    fn conn_ready(&mut self, now: Time, place: usize, writable: bool) {
+        let Some(conn) = self.conns.get_mut(place) else {
+            return;
+        };
+        let mut ending = None;
+        if writable {
+            ending = conn.channel.writable(now).err();
+            if ending.is_none() && matches!(conn.kind, Kind::Lingering) && !conn.channel.pending() {
+                conn.channel.half_close();
+            }
+        }
+        let mut bytes = Vec::new();
+        if conn.channel.connected && ending.is_none() {
+            ending = conn.channel.read(&mut bytes, now);
+        }
+        if bytes.is_empty() && ending.is_none() {
+            return;
+        }
+        match conn.kind {
+            Kind::Admin(_) => self.admin_read(now, place, &bytes, ending),
+            Kind::Caller(_) => self.caller_read(now, place, &bytes, ending),
+            Kind::Fetching(_) => self.fetching_read(now, place, &bytes, ending),
+            Kind::Lingering => {
+                if ending.is_some() {
+                    self.remove(place);
+                }
+            }
+            Kind::Serving(_) => self.serving_read(now, place, &bytes, ending),
+            Kind::Store(_) => self.store_read(now, place, &bytes, ending),
+            Kind::Worker(_) => self.worker_read(now, place, &bytes, ending),
+        }
     }
 
-    fn note(&self, at: Time, hall: &Hall, decision: Decision) {
-        match &decision {
-            Decision::Cold { why, worker } => log(Event::WorkerCold, format!("{worker}: {why}")),
-            Decision::Failing(worker) => log(Event::WorkerFailing, worker),
-            Decision::Slow(worker) => log(Event::WorkerSlow, worker),
-            Decision::Warm(worker) => log(Event::WorkerWarm, worker),
-            Decision::Chosen { .. } | Decision::Home(_) | Decision::Queued { .. } => {}
+    fn due(&mut self, now: Time) {
+        if self.desk.next_tick().is_some_and(|at| at <= now) {
+            self.decide(now, call::Event::Tick);
         }
-        let service = hall.name.clone();
-        self.journal.add(Entry {
-            at,
-            decision,
-            service,
-        });
+        while let Some((place, serial)) = self.timers.pop(now) {
+            self.conn_due(now, place, serial);
+        }
+        if self.next_beat <= now {
+            self.next_beat = now + PERIOD;
+            self.beat(now);
+        }
+        self.store_tick(now);
+        self.shutdown_tick(now);
     }
 
-    /// Puts a newer site in force; an older one changes nothing.
-    ///
-    /// A site that isn't valid is refused as a whole, and the one in force stays.
-    pub(crate) fn put_site(&self, bundle: Bundle) {
-        let _guard = self.replace.lock();
-        let generation = bundle.generation;
-        if generation <= self.spread.lock().generation() {
+    fn conn_due(&mut self, now: Time, place: usize, serial: u64) {
+        let Some(conn) = self.conns.get_mut(place) else {
+            return;
+        };
+        if conn.serial != serial || conn.due.is_none_or(|at| at > now) {
             return;
         }
-        let services = match bundle.services() {
-            Ok(services) => services,
-            Err(problems) => {
-                self.spread.lock().refuse(generation);
-                log(
-                    Event::BadGeneration,
-                    format!("{}: {problems}", generation.0),
-                );
-                return;
+        conn.due = None;
+        match conn.kind {
+            Kind::Admin(_) | Kind::Lingering | Kind::Serving(_) => {
+                self.remove(place);
             }
-        };
-        let old = self.live.load_full();
-        let mut halls = Map::default();
-        for (name, service) in services {
-            let limits = spec(&service, self.settings.policy);
-            let hall = match old.services.get(&name) {
-                Some((_, hall)) => {
-                    self.drive(hall, DeskEvent::Spec(limits));
-                    Arc::clone(hall)
-                }
-                None => Hall::new(name.clone(), self.settings.name.clone(), limits),
-            };
-            halls.insert(name, (service, hall));
+            Kind::Caller(_) => self.caller_due(now, place),
+            Kind::Fetching(_) => self.fetching_due(place),
+            Kind::Store(_) => self.store_due(now, place),
+            Kind::Worker(_) => self.worker_due(now, place),
         }
-        self.live.store(Arc::new(Live {
-            bundle: Arc::new(bundle),
-            list: Arc::clone(&old.list),
-            services: halls,
-            vms: old.vms.clone(),
-        }));
-        self.reseat();
-        self.spread.lock().accept(generation);
-        self.metrics
-            .generation
-            .set(i64::try_from(generation.0).unwrap_or(i64::MAX));
-        log(Event::Generation, generation.0);
     }
 
-    /// Puts a newer list of VMs in force; an older one changes nothing.
-    pub(crate) fn put_list(&self, list: VmList) {
-        let _guard = self.replace.lock();
-        if !self.spread.lock().accept_list(list.version) {
+    fn first_due(&mut self, now: Time, place: usize) {
+        let Some(conn) = self.conns.get(place) else {
             return;
-        }
-        let version = list.version;
-        let old = self.live.load_full();
-        let vms = list
-            .vms
-            .iter()
-            .map(|vm| (vm.name.clone(), Arc::new(vm.clone())));
-        self.live.store(Arc::new(Live {
-            bundle: Arc::clone(&old.bundle),
-            vms: vms.collect(),
-            list: Arc::new(list),
-            services: old.services.clone(),
-        }));
-        self.reseat();
-        log(Event::List, version);
+        };
+        let span: Span = match conn.kind {
+            Kind::Caller(_) => self.limits().idle,
+            _ => crate::options::ADMIN_IDLE,
+        };
+        self.set_due(place, now + span);
     }
 
-    /// The generation in force.
-    pub(crate) fn generation(&self) -> Generation {
-        self.live.load().bundle.generation
+    fn log_start(&mut self, now: Time) {
+        let fields = json!({
+            "version": env!("CARGO_PKG_VERSION"),
+            "centre": self.settings.centre,
+            "callers": self.settings.listen.callers.to_string(),
+            "store": self.settings.store.to_string(),
+        });
+        self.tell(now, event::START, fields);
     }
 }
--- /dev/null
+++ b/crates/daemon/src/dump.rs
@@ -0,0 +1,92 @@
+//! What the daemon knows and believes, as JSON.
+
+use {
+    crate::daemon::Daemon,
+    pick::Belief,
+    serde_json::{Value, json},
+    unit::Time,
+};
+
+impl Daemon {
+    pub(crate) fn dump(&self, now: Time) -> Value {
+        let own = self.own();
+        json!({
+            "name": self.settings.name,
+            "centre": self.settings.centre,
+            "stage": format!("{:?}", self.stage).to_lowercase(),
+            "config": self.config.as_ref().map(|config| config.version),
+            "age_ms": self.roster.age(now, &own).as_millis(),
+            "watch": format!("{:?}", own.watch).to_lowercase(),
+            "revs": {
+                "config": own.revs.config.0,
+                "evacuations": own.revs.evacuations.0,
+                "workers": own.revs.workers.0,
+            },
+            "evacuated": self.view.evacuations().collect::<Vec<_>>(),
+            "members": self.members_json(now),
+            "workers": self.workers_json(now),
+            "requests": self.requests_json(now),
+            "connections": {"callers": self.callers, "all": self.conns.len()},
+        })
+    }
+
+    fn members_json(&self, now: Time) -> Vec<Value> {
+        let members = self.roster.members().iter();
+        members
+            .map(|(name, member)| {
+                json!({
+                    "name": name,
+                    "centre": member.centre,
+                    "address": member.ip.to_string(),
+                    "alive": self.roster.alive(member, now),
+                    "stage": format!("{:?}", member.stage).to_lowercase(),
+                    "heard_ms": member.heard.map(|at| now.since(at).as_millis()),
+                })
+            })
+            .collect()
+    }
+
+    fn workers_json(&self, now: Time) -> Vec<Value> {
+        let workers = self.desk.table.iter();
+        workers
+            .map(|(key, belief)| {
+                let standing = self.desk.table.standing(key, now);
+                worker_json(belief, &format!("{standing:?}").to_lowercase(), now)
+            })
+            .collect()
+    }
+
+    fn requests_json(&self, now: Time) -> Vec<Value> {
+        let calls = self.calls.values();
+        calls
+            .map(|ticket| {
+                json!({
+                    "request": ticket.id,
+                    "elapsed_ms": now.since(ticket.began).as_millis(),
+                })
+            })
+            .collect()
+    }
+}
+
+fn worker_json(belief: &Belief, standing: &str, now: Time) -> Value {
+    let load = belief.load(now).map(|(load, age)| {
+        json!({
+            "running": load.running,
+            "waiting": load.waiting,
+            "slots": load.slots,
+            "pace": load.pace,
+            "age_ms": age.as_millis(),
+        })
+    });
+    json!({
+        "id": belief.worker.id,
+        "service": belief.worker.service,
+        "centre": belief.worker.centre,
+        "address": belief.worker.address.to_string(),
+        "standing": standing,
+        "cold": belief.is_cold(now),
+        "slowness": belief.slowness(now),
+        "load": load,
+    })
+}
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -1,36 +1,38 @@
 use {
-    conf::Problems,
     derive_more::{Display, Error, From},
-    peer::PeerError,
-    std::io,
+    platform::DecodeError,
+    std::{io, path::PathBuf},
 };
 
-/// Why the daemon can't start.
+/// Why the daemon could not start or go on.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum DaemonError {
-    /// A listener or thread can't be had.
-    #[display("can't start: {_0}; check the addresses in [listen]")]
+    /// The readiness calls of the system failed.
+    #[display("can't wait for sockets: {_0}")]
+    #[from]
     Io(io::Error),
-    /// The logger can't be set.
-    #[display("can't start the log: {_0}")]
-    Log(log::SetLoggerError),
-    /// A metric can't be registered.
-    #[display("can't register metrics: {_0}")]
-    Metrics(prometheus::Error),
-    /// Keys or the peers' listener.
-    #[display("{_0}")]
-    Peer(PeerError),
-    /// The settings are wrong.
-    #[display("settings are not valid; correct them and check with --check\n{_0}")]
-    Settings(Problems),
-    /// The settings can't be read.
-    #[display("can't read {file}: {error}; name a file that can be read")]
-    #[from(skip)]
-    Unreadable {
-        /// What the system said.
-        #[error(source)]
-        error: io::Error,
+    /// An address could not be listened on.
+    #[display("can't listen on {address}: {source}; is another daemon running here?")]
+    Listen {
+        /// The address.
+        address: String,
+        /// Why.
+        source: io::Error,
+    },
+    /// The settings file could not be read.
+    #[display("can't read settings {}: {source}", path.display())]
+    ReadSettings {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// The settings file is wrong.
+    #[display("settings {} are wrong: {source}", path.display())]
+    Settings {
         /// The file.
-        file: String,
+        path: PathBuf,
+        /// Why.
+        source: DecodeError,
     },
 }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -1,103 +1,51 @@
-use std::fmt::Display;
+//! The numbered log events; docs/EVENTS.md explains each.
 
-/// The events that the daemon logs; docs/EVENTS.md lists them.
+/// A kind of log line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// The daemon listens.
-    Started,
-    /// The daemon begins to serve.
-    Serving,
-    /// A stop was asked for.
-    Stopping,
-    /// Everything has ended.
-    Stopped,
-    /// A new generation is in force.
-    Generation,
-    /// A generation was refused as not valid.
-    BadGeneration,
-    /// A new list of VMs is in force.
-    List,
-    /// The daemons that serve have changed.
-    Members,
-    /// The platform doesn't answer.
-    PlatformDown,
-    /// The platform answers again.
-    PlatformUp,
-    /// Neither the platform nor most peers can be reached: new work is refused.
-    Isolated,
-    /// The platform or most peers can be reached again.
-    Rejoined,
-    /// A worker is taken as newly started.
-    WorkerCold,
-    /// A worker bears its full load.
-    WorkerWarm,
-    /// A worker is left out for failures.
-    WorkerFailing,
-    /// A worker is left out as slow.
-    WorkerSlow,
-    /// The stop's time is over with requests still in progress.
-    Cut,
+pub(crate) struct Event {
+    pub(crate) name: &'static str,
+    pub(crate) number: u16,
 }
 
-impl Event {
-    /// Every event, in the order of their numbers.
-    pub const ALL: [Self; 17] = [
-        Self::Started,
-        Self::Serving,
-        Self::Stopping,
-        Self::Stopped,
-        Self::Generation,
-        Self::BadGeneration,
-        Self::List,
-        Self::Members,
-        Self::PlatformDown,
-        Self::PlatformUp,
-        Self::Isolated,
-        Self::Rejoined,
-        Self::WorkerCold,
-        Self::WorkerWarm,
-        Self::WorkerFailing,
-        Self::WorkerSlow,
-        Self::Cut,
-    ];
+macro_rules! events {
+    ($($number:literal $ident:ident $name:literal;)*) => {
+        $(pub(crate) const $ident: Event = Event { name: $name, number: $number };)*
 
-    /// The number that stands in the log; it never changes its meaning.
-    pub fn number(self) -> u16 {
-        match self {
-            Self::Started => 100,
-            Self::Serving => 101,
-            Self::Stopping => 102,
-            Self::Stopped => 103,
-            Self::Cut => 104,
-            Self::Generation => 200,
-            Self::BadGeneration => 201,
-            Self::List => 202,
-            Self::Members => 300,
-            Self::Isolated => 301,
-            Self::Rejoined => 302,
-            Self::PlatformDown => 400,
-            Self::PlatformUp => 401,
-            Self::WorkerCold => 500,
-            Self::WorkerWarm => 501,
-            Self::WorkerFailing => 502,
-            Self::WorkerSlow => 503,
-        }
-    }
-
-    fn level(self) -> log::Level {
-        match self {
-            Self::BadGeneration | Self::Isolated => log::Level::Error,
-            Self::PlatformDown
-            | Self::WorkerCold
-            | Self::WorkerFailing
-            | Self::WorkerSlow
-            | Self::Cut => log::Level::Warn,
-            _ => log::Level::Info,
-        }
-    }
+        /// All events, in the order of their numbers.
+        pub(crate) const ALL: &[Event] = &[$($ident),*];
+    };
 }
 
-/// Logs an event with what it is about.
-pub fn log(event: Event, about: impl Display) {
-    log::log!(event.level(), "AF{} {event:?}: {about}", event.number());
+events! {
+    100 START "start";
+    101 READY "ready";
+    102 LEAVING "leaving";
+    103 STOP "stop";
+    104 RELOAD "reload";
+    105 RELOAD_REFUSED "reload-refused";
+    106 LOG_LINES_LOST "log-lines-lost";
+    200 STORE_LOST "store-lost";
+    201 STORE_REGAINED "store-regained";
+    202 WATCH_BEGUN "watch-begun";
+    203 WATCH_ENDED "watch-ended";
+    204 OBJECT_UNREADABLE "object-unreadable";
+    205 REPLY_UNREADABLE "reply-unreadable";
+    210 PEER_LOST "peer-lost";
+    211 PEER_REGAINED "peer-regained";
+    212 PEER_MESSAGE_REFUSED "peer-message-refused";
+    300 CONFIG_IN_FORCE "config-in-force";
+    301 CENTRE_EVACUATED "centre-evacuated";
+    302 CENTRE_RETURNED "centre-returned";
+    303 WORKER_ENTERED "worker-entered";
+    304 WORKER_GONE "worker-gone";
+    305 WORKER_ENTRY_STALE "worker-entry-stale";
+    400 SENT "sent";
+    401 ANSWERED "answered";
+    402 PASSED "passed";
+    403 WAITS "waits";
+    404 REFUSED "refused";
+    405 CALLER_GONE "caller-gone";
+    406 REQUEST_BAD "request-bad";
+    407 DELIVERED "delivered";
+    500 ACCEPT_FAILED "accept-failed";
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,160 +1,260 @@
+//! Traffic with other daemons.
+
 use {
-    crate::{
-        daemon::Daemon,
-        event::{Event, log},
-        live::Live,
+    crate::{conn::Kind, daemon::Daemon, event, options::FETCH_TIME},
+    peer::{Action, Beat, Fetch, Frame, Own, Stage, Watch},
+    serde_json::json,
+    site::Change,
+    std::{
+        io::ErrorKind,
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     },
-    conf::{Role, Standing as VmStanding, Vm},
-    peer::{Candidate, ViewAction, ViewEvent, entries, home, sharers},
-    pick::{Event as DeskEvent, Seat},
-    std::sync::Arc,
-    unit::{Name, digest},
+    unit::{Name, Set, Time},
+    wire::Ending,
 };
 
+/// The longest datagram, in bytes.
+const MAX_DATAGRAM: usize = 64 << 10;
+
+/// A connection on which this daemon fetches what it lacks of the site.
+#[derive(Debug)]
+pub(crate) struct Fetching {
+    from: Ipv4Addr,
+    frame: Frame,
+}
+
+/// A connection on which another daemon fetches.
+#[derive(Debug)]
+pub(crate) struct Serving {
+    frame: Frame,
+}
+
 impl Daemon {
-    /// Gives the view an event and does what it says; returns whether the fleet has changed.
-    pub(crate) fn view(&self, event: ViewEvent) -> bool {
-        let mut out = Vec::new();
-        self.view.lock().step(self.now(), event, &mut out);
-        let mut changed = false;
-        for action in out {
+    /// What this daemon says of itself.
+    pub(crate) fn own(&self) -> Own {
+        let watch = if self.store.watching() {
+            Watch::Live
+        } else if self.store.failing(self.clock.now()) {
+            Watch::Failing
+        } else {
+            Watch::Off
+        };
+        Own {
+            revs: self.view.revs(),
+            stage: self.stage,
+            watch,
+        }
+    }
+
+    /// Sends heartbeats and looks who else lives.
+    pub(crate) fn beat(&mut self, now: Time) {
+        let own = self.own();
+        let actions = self.roster.tick(now, &own);
+        self.roster_actions(now, actions);
+        self.choose_role(now);
+        self.note_alive(now);
+        self.desk.table.forget(now);
+        self.close_unknown();
+    }
+
+    pub(crate) fn roster_actions(&mut self, now: Time, actions: Vec<Action>) {
+        for action in actions {
             match action {
-                ViewAction::Beat(peer, mut beat) => {
-                    beat.generation = self.generation().0;
-                    beat.list = self.live.load().list.version;
-                    self.links.send(peer, peer::Frame::Beat(beat));
+                Action::Fetch(ip) => self.fetch(now, ip),
+                Action::Send(ip, beat) => self.send_beat(now, ip, &beat),
+            }
+        }
+    }
+
+    pub(crate) fn read_datagrams(&mut self, now: Time) {
+        let mut buf = vec![0; MAX_DATAGRAM];
+        loop {
+            match self.listeners.datagrams.recv_from(&mut buf) {
+                Ok((size, from)) => self.read_beat(now, &buf[..size], from),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                // Errors of earlier sends show here; the next datagram may be well.
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    pub(crate) fn new_serving() -> Kind {
+        Kind::Serving(Serving {
+            frame: Frame::default(),
+        })
+    }
+
+    pub(crate) fn serving_read(
+        &mut self,
+        now: Time,
+        place: usize,
+        bytes: &[u8],
+        ending: Option<Ending>,
+    ) {
+        let Some(conn) = self.conns.get_mut(place) else {
+            return;
+        };
+        let Kind::Serving(serving) = &mut conn.kind else {
+            return;
+        };
+        serving.frame.push(bytes);
+        match serving.frame.take::<Fetch>() {
+            Ok(Some(fetch)) => {
+                let changes = self.view.since(&fetch.have);
+                match Frame::encode(&changes) {
+                    Ok(out) => {
+                        // A failure shows when the connection is next read.
+                        let _ = self.write(place, &out, now);
+                    }
+                    Err(error) => self.refuse_peer(now, place, &error.to_string()),
+                }
+            }
+            Ok(None) => {}
+            Err(error) => self.refuse_peer(now, place, &error.to_string()),
+        }
+        if ending.is_some() {
+            self.remove(place);
+        }
+    }
+
+    pub(crate) fn fetching_read(
+        &mut self,
+        now: Time,
+        place: usize,
+        bytes: &[u8],
+        ending: Option<Ending>,
+    ) {
+        let Some(conn) = self.conns.get_mut(place) else {
+            return;
+        };
+        let Kind::Fetching(fetching) = &mut conn.kind else {
+            return;
+        };
+        fetching.frame.push(bytes);
+        let source = fetching.from.to_string();
+        match fetching.frame.take::<Vec<Change>>() {
+            Ok(Some(changes)) => {
+                self.fetching_due(place);
+                for change in changes {
+                    self.take_change(now, change, &source);
                 }
-                ViewAction::Changed => changed = true,
+            }
+            Ok(None) if ending.is_none() => {}
+            Ok(None) => self.fetching_due(place),
+            Err(error) => {
+                self.fetching_due(place);
+                let fields = json!({"peer": source, "reason": error.to_string()});
+                self.tell(now, event::PEER_MESSAGE_REFUSED, fields);
             }
         }
-        changed
     }
 
-    /// The daemons that may serve `service` now, in the order of their places.
-    pub(crate) fn entries_of(&self, live: &Live, service: &str, most: usize) -> Vec<Candidate> {
-        let open: Vec<Candidate> = self
-            .view
-            .lock()
-            .serving()
-            .into_iter()
-            .filter(|own| is_in(live, &own.centre, &own.name))
-            .collect();
-        entries(service, most, &open).into_iter().cloned().collect()
+    /// Ends a fetch; the next heartbeat of a daemon that knows more begins another.
+    pub(crate) fn fetching_due(&mut self, place: usize) {
+        self.remove(place);
+        self.fetching = false;
     }
 
-    /// Tells the view and every desk what the site, the list and the fleet now make of them.
-    pub(crate) fn reseat(&self) {
-        let _guard = self.seating.lock();
-        let live = self.live.load_full();
-        let region = &self.settings.region;
-        let local = |vm: &&Vm| vm.region == *region;
-        let daemons: Vec<Candidate> = live
-            .list
-            .vms
-            .iter()
-            .filter(local)
-            .filter(|vm| matches!(vm.role, Role::Entry { .. }))
-            .map(|vm| Candidate {
-                centre: vm.centre.clone(),
-                name: vm.name.clone(),
-            })
-            .collect();
-        self.set_links(&live);
-        self.view(ViewEvent::Listed(daemons));
-        self.view(ViewEvent::Inputs(inputs(&live, region)));
-        // Read before the members: if they change meanwhile, the seats count as of the old view.
-        let epoch = self.view.lock().epoch();
-        for (service, hall) in live.services.values() {
-            let chosen = self.entries_of(&live, &service.name, service.entries);
-            let event = self.seats(&live, service, &chosen, epoch);
-            self.drive(hall, event);
+    /// Whether this daemon knows enough to serve.
+    pub(crate) fn become_ready(&mut self, now: Time) {
+        let revs = self.view.revs();
+        let known = self.config.is_some() && revs.workers.0 > 0 && revs.evacuations.0 > 0;
+        if known && self.stage == Stage::Starting {
+            self.stage = Stage::Ready;
+            let fields = json!({"config": self.config.as_ref().map(|config| config.version)});
+            self.tell(now, event::READY, fields);
+            let own = self.own();
+            let actions = self.roster.announce(now, &own);
+            self.roster_actions(now, actions);
         }
     }
 
-    fn seats(
-        &self,
-        live: &Live,
-        service: &conf::Service,
-        chosen: &[Candidate],
-        epoch: u64,
-    ) -> DeskEvent {
-        let listed = self.view.lock().listed_names();
-        let workers: Vec<&Vm> = live
-            .list
-            .vms
-            .iter()
-            .filter(|vm| vm.region == self.settings.region)
-            .filter(
-                |vm| matches!(&vm.role, Role::Upstream { service: own } if *own == service.name),
-            )
-            .collect();
-        let names: Vec<Name> = workers.iter().map(|vm| vm.name.clone()).collect();
-        let chosen: Vec<&Candidate> = chosen.iter().collect();
-        let homes = home(&names, &chosen);
-        let shares = crate::hall::spec(service, self.settings.policy).shares();
-        let seat = |(vm, home): (&&Vm, Option<&Name>)| Seat {
-            centre: vm.centre.clone(),
-            home: home.cloned(),
-            name: vm.name.clone(),
-            open: vm.standing == VmStanding::Live && is_in(live, &vm.centre, &vm.name),
-            share: sharers(&vm.name, shares, &listed, &self.settings.name),
+    fn peer_address(&self, ip: Ipv4Addr) -> SocketAddrV4 {
+        SocketAddrV4::new(ip, self.settings.peer_ports.0)
+    }
+
+    fn send_beat(&mut self, now: Time, ip: Ipv4Addr, beat: &Beat) {
+        let bytes = match peer::encode(beat) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                let fields = json!({"reason": error.to_string()});
+                self.tell(now, event::PEER_MESSAGE_REFUSED, fields);
+                return;
+            }
+        };
+        self.metrics.beats.inc();
+        let to = SocketAddr::V4(self.peer_address(ip));
+        // A heartbeat that can't be sent is as one that is lost on its way.
+        let _ = self.listeners.datagrams.send_to(&bytes, to);
+    }
+
+    fn read_beat(&mut self, now: Time, bytes: &[u8], from: SocketAddr) {
+        let beat: Beat = match peer::decode(bytes) {
+            Ok(beat) => beat,
+            Err(error) => {
+                let fields = json!({"peer": from.to_string(), "reason": error.to_string()});
+                self.tell(now, event::PEER_MESSAGE_REFUSED, fields);
+                return;
+            }
         };
-        DeskEvent::Seats {
-            daemons: u32::try_from(listed.len()).unwrap_or(u32::MAX).max(1),
-            epoch,
-            seats: workers.iter().zip(homes).map(seat).collect(),
+        if from.ip() != beat.ip {
+            let fields = json!({"peer": from.to_string(), "reason": "it names another address"});
+            self.tell(now, event::PEER_MESSAGE_REFUSED, fields);
+            return;
         }
+        let own = self.own();
+        let actions = self.roster.hear(now, &beat, &own);
+        self.roster_actions(now, actions);
+        self.share_members();
     }
 
-    fn set_links(&self, live: &Arc<Live>) {
-        let me = &self.settings.name;
-        let peers = live
-            .list
-            .vms
-            .iter()
-            .filter(|vm| vm.region == self.settings.region);
-        let listed = peers.filter_map(|vm| match vm.role {
-            Role::Entry { peers, .. } if vm.name != *me => Some((vm.name.clone(), peers)),
-            _ => None,
+    fn fetch(&mut self, now: Time, from: Ipv4Addr) {
+        if self.fetching {
+            return;
+        }
+        let fetch = Fetch {
+            have: self.view.revs(),
+        };
+        let Ok(bytes) = Frame::encode(&fetch) else {
+            return;
+        };
+        let kind = Kind::Fetching(Fetching {
+            from,
+            frame: Frame::default(),
         });
-        let mut all: Vec<(Name, std::net::SocketAddr)> = listed.collect();
-        if all.is_empty() {
-            let bootstrap = self.settings.bootstrap.iter();
-            all.extend(bootstrap.map(|address| (address.to_string().into(), *address)));
+        let Ok(place) = self.connect(self.peer_address(from), kind, now) else {
+            return;
+        };
+        self.fetching = true;
+        self.set_due(place, now + FETCH_TIME);
+        if self.write(place, &bytes, now).is_err() {
+            self.fetching_due(place);
         }
-        self.links.set_peers(all);
     }
 
-    /// Notes that the daemons that serve have changed.
-    pub(crate) fn members_changed(&self) {
-        let serving = self.view.lock().serving();
-        let names: Vec<&str> = serving.iter().map(|own| &*own.name).collect();
-        log(Event::Members, names.join(" "));
-        self.reseat();
+    fn refuse_peer(&mut self, now: Time, place: usize, reason: &str) {
+        self.remove(place);
+        self.tell(now, event::PEER_MESSAGE_REFUSED, json!({"reason": reason}));
     }
-}
 
-/// Whether neither the VM nor its data centre was taken out.
-fn is_in(live: &Live, centre: &Name, vm: &Name) -> bool {
-    let root = &live.bundle.root;
-    !root.centres.contains(centre) && !root.vms.contains(vm)
-}
-
-/// A digest of all that decides about homes besides the members: the workers, the services'
-/// numbers of entries, and what was taken out.
-fn inputs(live: &Live, region: &Name) -> u64 {
-    let root = &live.bundle.root;
-    let vms = live.list.vms.iter().filter(|vm| vm.region == *region);
-    let mut parts: Vec<String> = vms
-        .map(|vm| format!("{}@{}", vm.name, vm.address))
-        .collect();
-    parts.extend(
-        live.services
-            .values()
-            .map(|(own, _)| format!("{}#{}", own.name, own.entries)),
-    );
-    parts.extend(root.centres.iter().map(|name| format!("centre {name}")));
-    parts.extend(root.vms.iter().map(|name| format!("vm {name}")));
-    parts.sort_unstable();
-    digest(parts.iter().map(String::as_str))
+    /// Logs which daemons came and went.
+    fn note_alive(&mut self, now: Time) {
+        let alive = |(name, member): (&Name, &peer::Member)| {
+            self.roster.alive(member, now).then(|| name.clone())
+        };
+        let alive: Set<Name> = self.roster.members().iter().filter_map(alive).collect();
+        if alive == self.alive {
+            return;
+        }
+        let lost: Vec<Name> = self.alive.difference(&alive).cloned().collect();
+        let found: Vec<Name> = alive.difference(&self.alive).cloned().collect();
+        for name in lost {
+            self.tell(now, event::PEER_LOST, json!({"peer": name}));
+        }
+        for name in found {
+            self.tell(now, event::PEER_REGAINED, json!({"peer": name}));
+        }
+        self.alive = alive;
+    }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,28 +1,30 @@
-//! The daemon: callers' requests, the desks that choose workers, peers, platform and operators.
+//! The daemon's process: sockets, timers and signals around the decisions of the other crates.
+//!
+//! One thread does everything but the writing of logs. It waits for sockets to become ready and for
+//! the next timer, turns what happens into events for the state machines, and carries out the
+//! actions that they answer with.
 
+mod admin;
 mod arguments;
-mod attempt;
 mod callers;
+mod channel;
+mod conn;
 mod daemon;
-mod dialer;
+mod dump;
 mod error;
 mod event;
+mod explain;
 mod fleet;
-mod flight;
-mod flow;
-mod hall;
-mod inbox;
-mod journal;
-mod launch;
-mod live;
+mod listeners;
+mod log;
 mod metrics;
-mod operators;
-mod platform;
-mod replies;
+mod options;
+mod platform_io;
+mod requests;
 mod run;
-mod ticker;
+mod shutdown;
+mod signals;
+mod timers;
+mod workers;
 
-pub use {
-    event::{Event, log},
-    run::run,
-};
+pub use run::main;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,7 @@
-//! The daemon of one entry VM.
+//! The daemon: takes callers' requests and sends them to workers.
 
-fn main() -> std::process::ExitCode {
-    daemon::run()
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    daemon::main()
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,108 +1,127 @@
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+use {
+    call::Step,
+    prometheus::{
+        Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+        core::Collector,
+    },
 };
 
+/// The upper ends of the latency buckets, in seconds.
+const BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
+];
+
 /// What the daemon counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    /// Calls answered, by service, class and outcome.
-    pub(crate) answers: IntCounterVec,
-    /// Open connections of callers.
-    pub(crate) conns: IntGauge,
-    /// Connections opened to upstreams on a request's path.
-    pub(crate) dials: IntCounter,
-    /// Connections opened to upstreams ahead of requests.
-    pub(crate) dials_ahead: IntCounter,
-    /// The generation in force.
-    pub(crate) generation: IntGauge,
-    /// Hedges and retries sent, by kind.
-    pub(crate) extras: IntCounterVec,
-    /// Bytes exchanged with peers, encryption included.
-    pub(crate) peer_bytes: IntGauge,
-    /// Calls made to the platform, by how they ended.
-    pub(crate) platform: IntGaugeVec,
+    pub(crate) beats: IntCounter,
+    pub(crate) connections: IntCounter,
+    pub(crate) latency: Histogram,
+    own: IntCounterVec,
+    pub(crate) probes: IntCounter,
     registry: Registry,
-    /// The time that a call spent here and not at the upstream, in seconds.
-    pub(crate) spent: Histogram,
-    /// Requests that wait, by service.
-    pub(crate) waiting: IntGaugeVec,
-    /// Workers by service and state.
-    pub(crate) workers: IntGaugeVec,
+    pub(crate) requests: IntCounter,
+    pub(crate) resolves: IntCounter,
+    sends: IntCounterVec,
+    pub(crate) store_calls: IntCounter,
+    waits: IntCounter,
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+    pub(crate) fn new() -> Self {
         let registry = Registry::new();
-        let buckets = prometheus::exponential_buckets(0.000_05, 2.0, 16)?;
-        let spent = HistogramOpts::new(
-            "anvilferry_spent_seconds",
-            "Time that calls spent in the daemon, their queueing included.",
+        let latency = HistogramOpts::new(
+            "anvilferry_latency_seconds",
+            "Time from a request to the worker's answer",
         );
-        let metrics = Self {
-            answers: IntCounterVec::new(
-                Opts::new("anvilferry_answers_total", "Calls answered."),
-                &["service", "class", "outcome"],
-            )?,
-            conns: IntGauge::new(
-                "anvilferry_caller_connections",
-                "Open callers' connections.",
-            )?,
-            dials: IntCounter::new(
-                "anvilferry_dials_total",
-                "Connections opened to upstreams while a request waited.",
-            )?,
-            dials_ahead: IntCounter::new(
-                "anvilferry_dials_ahead_total",
-                "Connections opened to upstreams ahead of requests.",
-            )?,
-            extras: IntCounterVec::new(
-                Opts::new("anvilferry_extras_total", "Hedges and retries sent."),
-                &["kind"],
-            )?,
-            generation: IntGauge::new("anvilferry_generation", "The generation in force.")?,
-            peer_bytes: IntGauge::new(
-                "anvilferry_peer_bytes",
-                "Bytes exchanged with peers, encryption included.",
-            )?,
-            platform: IntGaugeVec::new(
-                Opts::new("anvilferry_platform_calls", "Calls made to the platform."),
-                &["ending"],
-            )?,
-            spent: Histogram::with_opts(spent.buckets(buckets))?,
-            waiting: IntGaugeVec::new(
-                Opts::new("anvilferry_waiting", "Requests that wait for a worker."),
-                &["service"],
-            )?,
-            workers: IntGaugeVec::new(
-                Opts::new("anvilferry_workers", "Workers by state."),
-                &["service", "state"],
-            )?,
+        let latency = latency.buckets(BUCKETS.to_vec());
+        Self {
+            beats: counter(
+                &registry,
+                "heartbeats_total",
+                "Heartbeats sent to other daemons",
+            ),
+            connections: counter(
+                &registry,
+                "connections_total",
+                "Connections opened to workers",
+            ),
+            latency: enter(&registry, Histogram::with_opts(latency)),
+            own: family(
+                &registry,
+                "own_answers_total",
+                "Answers of the daemon's own",
+                "status",
+            ),
+            probes: counter(&registry, "probes_total", "Health requests sent to workers"),
+            requests: counter(&registry, "requests_total", "Requests read from callers"),
+            resolves: counter(&registry, "resolves_total", "Questions to the directory"),
+            sends: family(
+                &registry,
+                "sends_total",
+                "Requests sent to workers",
+                "repeat",
+            ),
+            store_calls: counter(
+                &registry,
+                "store_calls_total",
+                "Calls to the platform's store",
+            ),
+            waits: counter(
+                &registry,
+                "waits_total",
+                "Times that a request waited for room",
+            ),
             registry,
-        };
-        metrics.register()?;
-        Ok(metrics)
+        }
+    }
+
+    pub(crate) fn own_answers(&self, status: u16) {
+        self.own.with_label_values(&[&status.to_string()]).inc();
     }
 
-    /// The text that a Prometheus server reads.
-    pub(crate) fn text(&self) -> String {
-        let mut text = Vec::new();
-        drop(TextEncoder::new().encode(&self.registry.gather(), &mut text));
-        String::from_utf8_lossy(&text).into_owned()
+    pub(crate) fn step(&self, step: &Step) {
+        match step {
+            Step::Sent { before, .. } => {
+                let repeat = if *before > 0 { "yes" } else { "no" };
+                self.sends.with_label_values(&[repeat]).inc();
+            }
+            Step::Waits(_) => self.waits.inc(),
+            Step::Answered { .. } | Step::Passed { .. } | Step::Refused(_) => {}
+        }
     }
 
-    fn register(&self) -> Result<(), prometheus::Error> {
-        let registry = &self.registry;
-        registry.register(Box::new(self.answers.clone()))?;
-        registry.register(Box::new(self.conns.clone()))?;
-        registry.register(Box::new(self.dials.clone()))?;
-        registry.register(Box::new(self.dials_ahead.clone()))?;
-        registry.register(Box::new(self.extras.clone()))?;
-        registry.register(Box::new(self.generation.clone()))?;
-        registry.register(Box::new(self.peer_bytes.clone()))?;
-        registry.register(Box::new(self.platform.clone()))?;
-        registry.register(Box::new(self.spent.clone()))?;
-        registry.register(Box::new(self.waiting.clone()))?;
-        registry.register(Box::new(self.workers.clone()))
+    /// The metrics as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut out = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            out = format!("# metrics can't be written: {error}\n").into_bytes();
+        }
+        out
     }
 }
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    enter(registry, IntCounter::with_opts(options(name, help)))
+}
+
+fn family(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    enter(registry, IntCounterVec::new(options(name, help), &[label]))
+}
+
+fn options(name: &str, help: &str) -> Opts {
+    Opts::new(format!("anvilferry_{name}"), help)
+}
+
+/// Enters a metric. The names are constants, so a failure is a mistake in this file.
+#[allow(
+    clippy::expect_used,
+    reason = "constant names; checked by the test of the metrics page"
+)]
+fn enter<T: Collector + Clone + 'static>(registry: &Registry, made: prometheus::Result<T>) -> T {
+    let metric = made.expect("the metric's name is valid");
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("the metric's name is its own");
+    metric
+}
--- /dev/null
+++ b/crates/daemon/src/platform_io.rs
@@ -0,0 +1,291 @@
+//! Connections to the platform's store.
+
+use {
+    crate::{
+        conn::Kind,
+        daemon::Daemon,
+        event,
+        options::{MAX_ANSWER, STORE_IDLE},
+    },
+    pick::Key,
+    platform::{Call, encode_call},
+    serde_json::json,
+    site::{Change, Effect, Topic},
+    store::{Action, CallId, Failure, News, Role},
+    unit::{Name, Span, Time},
+    wire::{Ending, Limits, Response, ResponseReader},
+};
+
+/// A connection to the store, for one call at a time.
+#[derive(Debug)]
+pub(crate) struct StoreConn {
+    /// The call under way.
+    call: Option<(CallId, Call)>,
+    reader: ResponseReader,
+}
+
+impl Daemon {
+    pub(crate) fn store_tick(&mut self, now: Time) {
+        let actions = self.store.tick(now, &self.view.revs());
+        self.store_actions(now, actions);
+    }
+
+    /// Takes on or gives up the watch, as the roster says.
+    pub(crate) fn choose_role(&mut self, now: Time) {
+        let must = self.roster.must_watch(now, &self.own());
+        let role = if must { Role::Watcher } else { Role::Reader };
+        if role == self.store.role() {
+            return;
+        }
+        let event = match role {
+            Role::Watcher => event::WATCH_BEGUN,
+            Role::Reader => event::WATCH_ENDED,
+        };
+        let age = self.roster.age(now, &self.own());
+        self.tell(now, event, json!({"age_ms": age.as_millis()}));
+        let actions = self.store.set_role(role, now);
+        self.store_actions(now, actions);
+    }
+
+    pub(crate) fn store_actions(&mut self, now: Time, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Call(id, call, time) => self.store_call(now, id, call, time),
+                Action::Cancel(id) => {
+                    if let Some(place) = self.store_calls.remove(&id) {
+                        self.remove(place);
+                    }
+                }
+                Action::News(news) => self.store_news(now, news),
+            }
+        }
+    }
+
+    pub(crate) fn store_read(
+        &mut self,
+        now: Time,
+        place: usize,
+        bytes: &[u8],
+        ending: Option<Ending>,
+    ) {
+        let Some(conn) = self.store_conn(place) else {
+            return;
+        };
+        conn.reader.push(bytes);
+        if conn.call.is_none() {
+            self.drop_store(place);
+            return;
+        }
+        match conn.reader.take(false) {
+            Ok(Some(response)) => self.store_response(now, place, &response, ending.is_some()),
+            Ok(None) if ending.is_none() => {}
+            Ok(None) | Err(_) => self.store_broken(now, place),
+        }
+    }
+
+    /// Gives up on a call that took too long, or closes a connection that was free for long.
+    pub(crate) fn store_due(&mut self, now: Time, place: usize) {
+        let Some(conn) = self.store_conn(place) else {
+            return;
+        };
+        let call = conn.call.take();
+        self.drop_store(place);
+        if let Some((id, _)) = call {
+            self.store_answered(now, id, Err(Failure::Late));
+        }
+    }
+
+    /// Takes in what is new of the site, from the store or from another daemon.
+    pub(crate) fn take_change(&mut self, now: Time, change: Change, source: &str) {
+        let (topic, rev) = (change.topic, change.rev);
+        let before = self.view.revs();
+        let effects = self.view.apply(change, now);
+        for effect in effects {
+            self.take_effect(now, effect, source, rev.0);
+        }
+        if topic == Topic::Workers {
+            self.close_unknown();
+        }
+        if self.view.revs().ahead(&before) {
+            let own = self.own();
+            let actions = self.roster.announce(now, &own);
+            self.roster_actions(now, actions);
+        }
+        self.become_ready(now);
+    }
+
+    fn take_effect(&mut self, now: Time, effect: Effect, source: &str, rev: u64) {
+        match effect {
+            Effect::Config(version) => {
+                self.config = self.view.config().cloned();
+                if let Some(config) = &self.config {
+                    self.desk.configure(std::sync::Arc::clone(config));
+                }
+                let fields = json!({"version": version, "rev": rev, "source": source});
+                self.tell(now, event::CONFIG_IN_FORCE, fields);
+            }
+            Effect::Evacuated(centre, out) => {
+                self.desk.table.evacuate(centre.clone(), out);
+                let event = if out {
+                    event::CENTRE_EVACUATED
+                } else {
+                    event::CENTRE_RETURNED
+                };
+                let fields = json!({"centre": centre, "rev": rev, "source": source});
+                self.tell(now, event, fields);
+            }
+            Effect::Worker(worker) => {
+                let fields = json!({
+                    "worker": worker.id,
+                    "service": worker.service,
+                    "state": format!("{:?}", worker.state).to_lowercase(),
+                    "cold_ms": worker.cold.as_millis(),
+                    "rev": rev,
+                    "source": source,
+                });
+                self.tell(now, event::WORKER_ENTERED, fields);
+                let _: Key = self.desk.table.enter(worker, now);
+            }
+            Effect::WorkerGone(id, departure) => {
+                let fields = json!({
+                    "worker": id,
+                    "departure": format!("{departure:?}").to_lowercase(),
+                    "rev": rev,
+                    "source": source,
+                });
+                self.tell(now, event::WORKER_GONE, fields);
+                self.desk.table.leave(&id, departure, now);
+            }
+            Effect::WorkerStale(id) => {
+                let fields = json!({"worker": id, "rev": rev, "source": source});
+                self.tell(now, event::WORKER_ENTRY_STALE, fields);
+            }
+        }
+    }
+
+    fn store_conn(&mut self, place: usize) -> Option<&mut StoreConn> {
+        match &mut self.conns.get_mut(place)?.kind {
+            Kind::Store(conn) => Some(conn),
+            _ => None,
+        }
+    }
+
+    fn store_call(&mut self, now: Time, id: CallId, call: Call, time: Span) {
+        let place = match self.store_idle.pop() {
+            Some(place) => Some(place),
+            None => self.open_store(now),
+        };
+        let Some(place) = place else {
+            self.store_answered(now, id, Err(Failure::Broken));
+            return;
+        };
+        let mut bytes = Vec::new();
+        encode_call(&call, &self.settings.store.to_string()).encode(&mut bytes);
+        self.metrics.store_calls.inc();
+        self.store_calls.insert(id, place);
+        if let Some(conn) = self.store_conn(place) {
+            conn.call = Some((id, call));
+        }
+        self.set_due(place, now + time);
+        if self.write(place, &bytes, now).is_err() {
+            self.store_broken(now, place);
+        }
+    }
+
+    fn open_store(&mut self, now: Time) -> Option<usize> {
+        let kind = Kind::Store(StoreConn {
+            call: None,
+            reader: ResponseReader::new(Limits {
+                body: MAX_ANSWER,
+                ..Limits::default()
+            }),
+        });
+        // The caller reports the loss of the store.
+        let place = self.connect(self.settings.store, kind, now).ok()?;
+        if let Some(conn) = self.conns.get(place) {
+            // Without the options a silent connection is found by the call's own time limit.
+            let _ = conn.channel.watch_over();
+        }
+        Some(place)
+    }
+
+    fn store_response(&mut self, now: Time, place: usize, response: &Response, ended: bool) {
+        let Some(conn) = self.store_conn(place) else {
+            return;
+        };
+        let Some((id, call)) = conn.call.take() else {
+            return;
+        };
+        if response.last || ended {
+            self.drop_store(place);
+        } else {
+            self.store_idle.push(place);
+            self.set_due(place, now + STORE_IDLE);
+        }
+        let departure = self.store.departure(now);
+        let reply = platform::decode_reply(&call, response, departure);
+        if let Err(error) = &reply {
+            let fields = json!({"status": response.status, "reason": error.to_string()});
+            self.tell(now, event::REPLY_UNREADABLE, fields);
+        }
+        let reply = reply.map_err(|_| Failure::Unreadable);
+        self.store_answered(now, id, reply);
+    }
+
+    /// Takes in that a connection broke.
+    fn store_broken(&mut self, now: Time, place: usize) {
+        let Some(conn) = self.store_conn(place) else {
+            return;
+        };
+        let call = conn.call.take();
+        self.drop_store(place);
+        if let Some((id, _)) = call {
+            self.store_answered(now, id, Err(Failure::Broken));
+        }
+    }
+
+    fn drop_store(&mut self, place: usize) {
+        self.store_idle.retain(|other| *other != place);
+        self.remove(place);
+    }
+
+    fn store_answered(&mut self, now: Time, id: CallId, answer: Result<platform::Reply, Failure>) {
+        self.store_calls.remove(&id);
+        let actions = self.store.answered(now, id, answer);
+        self.store_actions(now, actions);
+    }
+
+    fn store_news(&mut self, now: Time, news: News) {
+        match news {
+            News::Change(change) => self.take_change(now, change, "store"),
+            News::Lost(topic) => {
+                let topic = topic.map(|topic| format!("{topic:?}").to_lowercase());
+                self.tell(now, event::STORE_LOST, json!({"topic": topic}));
+            }
+            News::Members(entries) => {
+                for (_, entry) in entries {
+                    self.roster.enter(entry.name, entry.centre, entry.ip);
+                }
+                self.share_members();
+                let own = self.own();
+                let actions = self.roster.announce(now, &own);
+                self.roster_actions(now, actions);
+            }
+            News::Regained => self.tell(now, event::STORE_REGAINED, json!({})),
+            News::Unreadable(name, reason) => {
+                let fields = json!({"object": name, "reason": reason.to_string()});
+                self.tell(now, event::OBJECT_UNREADABLE, fields);
+            }
+        }
+    }
+
+    /// Lets the table know which daemons share the fleet's limits.
+    pub(crate) fn share_members(&mut self) {
+        let members = self.roster.members().iter();
+        let centres = members.map(|(name, member)| (name.clone(), member.centre.clone()));
+        let centres: unit::Map<Name, Name> = centres.collect();
+        if centres.len() + 1 != self.desk.table.members() {
+            self.desk.table.set_members(centres);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shutdown.rs
@@ -0,0 +1,84 @@
+use {
+    crate::{
+        daemon::Daemon,
+        event,
+        options::{KEEP_PART, STOP_PART, TAKE_PART},
+    },
+    conf::Bounds,
+    peer::Stage,
+    serde_json::json,
+    unit::{Span, Time},
+};
+
+/// The least time that a daemon without callers goes on after the order to stop, so that the others
+/// hear of it.
+const LEAST: Span = Span::millis(1_000);
+
+/// How far the daemon is with stopping.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Shutdown {
+    /// When the order to stop came.
+    began: Option<Time>,
+    /// Whether new connections are refused and idle ones were closed.
+    closed: bool,
+}
+
+impl Shutdown {
+    /// Whether requests are still taken.
+    pub(crate) fn takes(&self, now: Time, bounds: &Bounds) -> bool {
+        self.began
+            .is_none_or(|at| now.since(at) < bounds.grace.scale(TAKE_PART))
+    }
+
+    /// Whether the process may end.
+    pub(crate) fn done(&self, now: Time, bounds: &Bounds, callers: usize) -> bool {
+        let Some(began) = self.began else {
+            return false;
+        };
+        let elapsed = now.since(began);
+        elapsed >= bounds.grace.scale(STOP_PART) || (callers == 0 && elapsed >= LEAST)
+    }
+}
+
+impl Daemon {
+    /// Begins to stop: callers are sent elsewhere, and what is under way is finished.
+    pub(crate) fn leave(&mut self, now: Time) {
+        self.stage = Stage::Leaving;
+        self.shutdown.began = Some(now);
+        let fields = json!({"callers": self.callers, "requests": self.calls.len()});
+        self.tell(now, event::LEAVING, fields);
+        let own = self.own();
+        let actions = self.roster.announce(now, &own);
+        self.roster_actions(now, actions);
+        self.close_callers(now, false);
+    }
+
+    pub(crate) fn shutdown_tick(&mut self, now: Time) {
+        let Some(began) = self.shutdown.began else {
+            return;
+        };
+        let keep = self.settings.bounds.grace.scale(KEEP_PART);
+        if now.since(began) >= keep {
+            if !self.shutdown.closed {
+                self.shutdown.closed = true;
+                self.shut_callers();
+            }
+            self.close_callers(now, true);
+        }
+    }
+
+    /// Reads the settings file again. What can't change while the process runs stays as it is.
+    pub(crate) fn reload(&mut self, now: Time) {
+        match crate::run::read_settings(None) {
+            Ok(settings) => {
+                let fields = json!({"changed": settings != self.settings});
+                self.settings.bounds = settings.bounds;
+                self.tell(now, event::RELOAD, fields);
+            }
+            Err(error) => {
+                let fields = json!({"reason": error.to_string()});
+                self.tell(now, event::RELOAD_REFUSED, fields);
+            }
+        }
+    }
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,25 +1,14 @@
-//! Limits: budgets, admission, slow start and the left-out states of workers, without clocks.
+//! Shares of limits that bind the fleet as a whole. Each daemon keeps within its own share by
+//! itself, so the sum holds whether or not the daemons are in touch.
 
-mod drain;
-mod estimate;
-mod extra;
-mod health;
-mod pace;
-mod quantile;
-mod queue;
-mod ramp;
-mod waiting;
+mod cold;
+mod probe;
+mod retry;
 mod window;
 
 pub use {
-    drain::Drain,
-    estimate::Estimate,
-    extra::Extra,
-    health::Health,
-    pace::Pace,
-    quantile::Quantile,
-    queue::{Full, Lane, Queue},
-    ramp::Ramp,
-    waiting::Waiting,
+    cold::{ColdShare, Peers},
+    probe::ProbeShare,
+    retry::RetryShare,
     window::Window,
 };
--- a/crates/limit/src/window.rs
+++ b/crates/limit/src/window.rs
@@ -1,55 +1,44 @@
 use {
-    serde::Serialize,
     std::collections::VecDeque,
     unit::{Span, Time},
 };
 
-/// Added to the window's length for the way between the check and the far end's own count.
-const MARGIN: Span = Span::millis(100);
-
-/// At most a number of events in every window of one second, wherever it begins.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+/// Counts events in the span before the present moment.
+#[derive(Clone, Debug)]
 pub struct Window {
-    /// Times of the events that still count, oldest first; never more than `most`.
+    /// The moments of the events, oldest first.
     events: VecDeque<Time>,
-    most: usize,
+    span: Span,
 }
 
 impl Window {
-    /// Allows `most` events a second.
-    pub fn new(most: u32) -> Self {
+    /// An empty window of a length.
+    pub fn new(span: Span) -> Self {
         Self {
             events: VecDeque::new(),
-            most: most as usize,
-        }
-    }
-
-    /// Whether an event is allowed at `now`.
-    pub fn open(&mut self, now: Time) -> bool {
-        let length = Span::secs(1) + MARGIN;
-        while self.events.front().is_some_and(|at| now - *at >= length) {
-            self.events.pop_front();
+            span,
         }
-        self.events.len() < self.most
     }
 
-    /// Counts an event if it is allowed.
-    pub fn take(&mut self, now: Time) -> bool {
-        let open = self.open(now);
-        if open {
-            self.events.push_back(now);
-        }
-        open
+    /// Counts an event.
+    pub fn add(&mut self, now: Time) {
+        self.forget(now);
+        self.events.push_back(now);
     }
 
-    /// Counts as many events as are allowed: somebody else may just have used them all.
-    pub fn fill(&mut self, now: Time) {
-        self.events.clear();
-        self.events.extend(std::iter::repeat_n(now, self.most));
+    /// How many events lie in the window.
+    pub fn count(&mut self, now: Time) -> usize {
+        self.forget(now);
+        self.events.len()
     }
 
-    /// Changes the number allowed.
-    pub fn resize(&mut self, most: u32) {
-        self.most = most as usize;
+    fn forget(&mut self, now: Time) {
+        while self
+            .events
+            .front()
+            .is_some_and(|at| now.since(*at) >= self.span)
+        {
+            self.events.pop_front();
+        }
     }
 }
--- a/crates/peer/src/beat.rs
+++ b/crates/peer/src/beat.rs
@@ -1,35 +1,45 @@
 use {
-    bincode::{Decode, Encode},
-    serde::Serialize,
+    crate::{Stage, Watch},
+    serde::{Deserialize, Serialize},
+    site::Revs,
+    std::net::Ipv4Addr,
+    unit::{Name, Span},
 };
 
-/// Where a daemon is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Encode, Decode)]
-#[serde(rename_all = "lowercase")]
-pub enum Standing {
-    /// It has no newest site yet and serves nothing.
-    Joining,
-    /// It serves what it has, and gets nothing new.
-    Leaving,
-    /// It serves.
-    Serving,
+/// What the sender last heard of another daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The daemon's count of heartbeats.
+    pub count: u32,
+    /// The hash of its name.
+    pub key: u32,
+    /// Its life.
+    pub life: u32,
+    /// Where it stands.
+    pub stage: Stage,
 }
 
-/// A heartbeat from one daemon to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Encode, Decode)]
+/// A heartbeat.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
-    /// The sender's view, if it has been the same for long enough to be relied on.
-    pub digest: Option<u64>,
-    /// The number of the last heartbeat that the sender got from the receiver; 0 for none.
-    pub echo: u64,
-    /// The generation in force at the sender.
-    pub generation: u64,
-    /// The sender's life.
-    pub life: u64,
-    /// The version of the sender's list of VMs.
-    pub list: u64,
-    /// This heartbeat's number, greater than 0 and growing within a life.
-    pub seq: u64,
-    /// Where the sender is in its life.
-    pub standing: Standing,
+    /// How old the sender's knowledge of the site is: the time since it was known to be current.
+    pub age: Span,
+    /// The sender's data centre.
+    pub centre: Name,
+    /// How many heartbeats the sender made in this life.
+    pub count: u32,
+    /// The sender's address.
+    pub ip: Ipv4Addr,
+    /// A number that the sender drew at its start.
+    pub life: u32,
+    /// The sender's name.
+    pub name: Name,
+    /// Up to where the sender knows the site.
+    pub revs: Revs,
+    /// What the sender last heard of the others.
+    pub rows: Vec<Row>,
+    /// Where the sender stands.
+    pub stage: Stage,
+    /// How the sender stands with the store.
+    pub watch: Watch,
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,31 +1,21 @@
-//! The fleet: who is alive, who is whose home, how the site spreads, and the links between daemons.
+//! What daemons tell one another: that they live, what they know of the site, and how they stand
+//! with the store. A state machine without sockets; the messages are small datagrams, and what a
+//! daemon lacks of the site it fetches over a stream.
 
 mod beat;
-mod counted;
-mod entries;
+mod codec;
 mod error;
-mod frame;
-mod keys;
-mod link;
-mod links;
+mod fetch;
 mod member;
-mod proof;
-mod report;
-mod serve;
-mod spread;
+mod roster;
 mod stage;
-mod tls;
-mod view;
 
 pub use {
-    beat::{Beat, Standing},
-    entries::{Candidate, entries, home, sharers},
+    beat::{Beat, Row},
+    codec::{decode, encode},
     error::PeerError,
-    frame::{Frame, LIMIT as FRAME_LIMIT, decode, encode},
-    keys::Keys,
-    links::{Incoming, Links},
-    report::{MemberReport, ViewReport},
-    spread::{Spread, SpreadAction, Update, merge, update_for},
-    stage::{Joining, Leaving, Serving, Stage},
-    view::{View, ViewAction, ViewEvent},
+    fetch::{Fetch, Frame},
+    member::Member,
+    roster::{Action, Own, PERIOD, Roster},
+    stage::{Stage, Watch},
 };
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -1,48 +1,29 @@
 use {
-    crate::Standing,
-    unit::{Name, Time},
+    crate::{Stage, Watch},
+    site::Revs,
+    std::net::Ipv4Addr,
+    unit::{Name, Span, Time},
 };
 
-/// Another daemon, as one view has it.
-#[derive(Clone, Debug)]
-pub(crate) struct Member {
-    pub(crate) centre: Name,
-    /// When it was last heard.
-    pub(crate) heard: Option<Time>,
-    pub(crate) life: u64,
-    /// Heartbeats since it was last gone.
-    pub(crate) run: u32,
-    /// The number of the last heartbeat from it.
-    pub(crate) seq: u64,
-    pub(crate) standing: Standing,
-    /// The view that it supports, and when the heartbeat that asked for it was sent.
-    pub(crate) support: Option<(u64, Time)>,
-    /// Whether this view counts it as alive.
-    pub(crate) up: bool,
-}
-
-impl Member {
-    pub(crate) fn new(centre: Name) -> Self {
-        Self {
-            centre,
-            heard: None,
-            life: 0,
-            run: 0,
-            seq: 0,
-            standing: Standing::Joining,
-            support: None,
-            up: false,
-        }
-    }
-
-    pub(crate) fn serves(&self) -> bool {
-        self.up && self.standing == Standing::Serving
-    }
-
-    pub(crate) fn drop_out(&mut self) {
-        self.run = 0;
-        self.seq = 0;
-        self.support = None;
-        self.up = false;
-    }
+/// Another daemon, as this one knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// How old its knowledge of the site was when it last spoke here itself, and when that was.
+    pub age: Option<(Span, Time)>,
+    /// Its data centre.
+    pub centre: Name,
+    /// How many heartbeats it made in this life.
+    pub count: u32,
+    /// When its count last grew; `None` before that.
+    pub heard: Option<Time>,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its life.
+    pub life: u32,
+    /// Up to where it knows the site.
+    pub revs: Revs,
+    /// Where it stands.
+    pub stage: Stage,
+    /// How it stands with the store, as it last said here itself.
+    pub watch: Watch,
 }
--- /dev/null
+++ b/crates/pick/src/key.rs
@@ -0,0 +1,5 @@
+use derive_more::Display;
+
+/// One life of one worker, as this process numbers them.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key(pub u32);
--- /dev/null
+++ b/crates/pick/src/table.rs
@@ -0,0 +1,330 @@
+use {
+    crate::{Belief, Key, Outcome, Standing, belief::DRAIN_GRACE},
+    fastrand::Rng,
+    limit::Peers,
+    site::{Departure, Health, Load, Service, State, Worker},
+    std::cmp::Ordering,
+    unit::{Map, Name, Set, Span, Time, rank},
+};
+
+/// How long a worker that was found slow or full is passed over while others are left.
+const BAD_NEWS: Span = Span::millis(60);
+/// The pace in percent from which on a machine counts as slow.
+const SLOW_PACE: u32 = 200;
+/// One request in so many asks a worker first that this daemon never used.
+const TRY_NEW_ONE_IN: u32 = 8;
+/// The part of a worker's health requests that the daemons of its own data centre may make; the
+/// others share the rest.
+const NEAR_PART: f64 = 0.6;
+
+/// What a request wants of a worker.
+#[derive(Clone, Debug)]
+pub struct Wanted<'a> {
+    /// Workers that it won't ask again.
+    pub skip: &'a [Key],
+    /// The service that serves it.
+    pub service: &'a str,
+}
+
+/// The worker to ask next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The worker.
+    pub key: Key,
+    /// Whether it stands in this daemon's own data centre.
+    pub near: bool,
+    /// How it stands.
+    pub standing: Standing,
+}
+
+/// What a daemon believes of every worker.
+#[derive(Clone, Debug)]
+pub struct Table {
+    beliefs: Map<Key, Belief>,
+    /// This daemon's data centre.
+    centre: Name,
+    evacuated: Set<Name>,
+    ids: Map<Name, Key>,
+    /// The registered daemons and their data centres.
+    members: Map<Name, Name>,
+    /// This daemon's name.
+    name: Name,
+    next: u32,
+    services: Map<Name, Vec<Key>>,
+}
+
+impl Table {
+    /// A table without workers, for the daemon `name` in `centre`.
+    pub fn new(name: Name, centre: Name) -> Self {
+        Self {
+            beliefs: Map::default(),
+            members: [(name.clone(), centre.clone())].into_iter().collect(),
+            centre,
+            evacuated: Set::default(),
+            ids: Map::default(),
+            name,
+            next: 0,
+            services: Map::default(),
+        }
+    }
+
+    /// Takes in a worker's entry. A new life of a known worker is a new worker.
+    pub fn enter(&mut self, worker: Worker, now: Time) -> Key {
+        if let Some(key) = self.ids.get(&worker.id).copied() {
+            let same = self.beliefs.get(&key).is_some_and(|belief| {
+                belief.worker.born == worker.born
+                    && belief.worker.service == worker.service
+                    && belief.worker.address == worker.address
+            });
+            if same {
+                if let Some(belief) = self.beliefs.get_mut(&key) {
+                    belief.update(worker, now);
+                }
+                return key;
+            }
+            self.remove(key);
+        }
+        let key = Key(self.next);
+        self.next += 1;
+        self.ids.insert(worker.id.clone(), key);
+        let keys = self.services.entry(worker.service.clone()).or_default();
+        keys.push(key);
+        let draining = worker.state == State::Draining;
+        let mut belief = Belief::new(worker, now);
+        belief.leaves = draining.then(|| now + DRAIN_GRACE);
+        self.beliefs.insert(key, belief);
+        key
+    }
+
+    /// Takes in that a worker's entry is gone.
+    pub fn leave(&mut self, id: &str, departure: Departure, now: Time) {
+        let belief = self.ids.get(id).and_then(|key| self.beliefs.get_mut(key));
+        if let Some(belief) = belief {
+            let until = now + departure.grace();
+            let sooner = belief.leaves.map_or(until, |known| known.min(until));
+            belief.leaves = Some(sooner);
+        }
+    }
+
+    /// Drops workers that left so long ago that nothing is under way with them.
+    pub fn forget(&mut self, now: Time) {
+        let gone = |belief: &Belief| {
+            belief.inflight == 0 && belief.leaves.is_some_and(|until| now > until)
+        };
+        let keys: Vec<Key> = self
+            .beliefs
+            .iter()
+            .filter(|(_, belief)| gone(belief))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in keys {
+            self.remove(key);
+        }
+    }
+
+    /// Takes in that a data centre is evacuated or taken back.
+    pub fn evacuate(&mut self, centre: Name, out: bool) {
+        if out {
+            self.evacuated.insert(centre);
+        } else {
+            self.evacuated.remove(&centre);
+        }
+    }
+
+    /// Takes in which daemons are registered, with their data centres.
+    pub fn set_members(&mut self, members: Map<Name, Name>) {
+        self.members = members;
+        self.members.insert(self.name.clone(), self.centre.clone());
+    }
+
+    /// How many daemons are registered.
+    pub fn members(&self) -> usize {
+        self.members.len()
+    }
+
+    /// What is believed of a worker.
+    pub fn get(&self, key: Key) -> Option<&Belief> {
+        self.beliefs.get(&key)
+    }
+
+    /// All workers.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Belief)> {
+        self.beliefs.iter().map(|(key, belief)| (*key, belief))
+    }
+
+    /// How a worker stands.
+    pub fn standing(&self, key: Key, now: Time) -> Standing {
+        self.beliefs.get(&key).map_or(Standing::Barred, |belief| {
+            belief.standing(now, self.evacuated.contains(&belief.worker.centre))
+        })
+    }
+
+    /// The worker to ask next. Workers of the own data centre come first, those that were just
+    /// found slow or full later, those that failed lately last; equals by what is expected of
+    /// them.
+    pub fn next(&self, now: Time, wanted: &Wanted<'_>, rng: &mut Rng) -> Option<Choice> {
+        let keys = self.services.get(wanted.service)?;
+        let try_new = rng.u32(..TRY_NEW_ONE_IN) == 0;
+        let mut best: Option<(Choice, (u32, f64))> = None;
+        for key in keys.iter().filter(|key| !wanted.skip.contains(key)) {
+            let Some(belief) = self.beliefs.get(key) else {
+                continue;
+            };
+            let standing = self.standing(*key, now);
+            if standing == Standing::Barred {
+                continue;
+            }
+            let near = belief.worker.centre == self.centre;
+            let tier = tier(belief, standing, near, try_new, now);
+            let jitter = 0.9 + 0.2 * rng.f64();
+            let weight = belief.slowness(now).max(1.0) * (1.0 + f64::from(belief.inflight));
+            let score = (tier, weight * jitter);
+            let better = |(_, other): &(Choice, (u32, f64))| {
+                score.partial_cmp(other) == Some(Ordering::Less)
+            };
+            if best.as_ref().is_none_or(better) {
+                let choice = Choice {
+                    key: *key,
+                    near,
+                    standing,
+                };
+                best = Some((choice, score));
+            }
+        }
+        best.map(|(choice, _)| choice)
+    }
+
+    /// Takes a permit for a health request to a worker, at most `bound` a second for the fleet.
+    pub fn take_probe(&mut self, key: Key, now: Time, bound: f64) -> bool {
+        let Some(belief) = self.beliefs.get_mut(&key) else {
+            return false;
+        };
+        let home = &belief.worker.centre;
+        let near = self
+            .members
+            .values()
+            .filter(|centre| *centre == home)
+            .count();
+        let (part, sharers) = if *home == self.centre {
+            (NEAR_PART, near)
+        } else {
+            (1.0 - NEAR_PART, self.members.len() - near)
+        };
+        let rate = bound * part / sharers.max(1) as f64;
+        belief.probe_share.take(now, rate)
+    }
+
+    /// Whether a cold worker may get one more request, at most `bound` a second for the fleet.
+    pub fn admits_cold(&mut self, key: Key, now: Time, bound: f64) -> bool {
+        let Some(belief) = self.beliefs.get(&key) else {
+            return false;
+        };
+        let peers = self.peers(&belief.worker.id);
+        self.beliefs
+            .get_mut(&key)
+            .is_some_and(|belief| belief.cold_share.admits(now, bound, peers))
+    }
+
+    /// Takes in an answer of a worker's health endpoint.
+    pub fn health(&mut self, key: Key, now: Time, health: &Health) {
+        if let Some(belief) = self.beliefs.get_mut(&key) {
+            belief.healthy(now, health);
+        }
+    }
+
+    /// Takes in the load that an answer bore.
+    pub fn load(&mut self, key: Key, now: Time, load: Load) {
+        if let Some(belief) = self.beliefs.get_mut(&key) {
+            belief.load = Some((load, now));
+        }
+    }
+
+    /// Takes in that a worker could not be reached or did not answer its health endpoint.
+    pub fn strike(&mut self, key: Key, now: Time) {
+        if let Some(belief) = self.beliefs.get_mut(&key) {
+            belief.strike(now);
+        }
+    }
+
+    /// Takes in that another worker answers at a worker's address.
+    pub fn misdirected(&mut self, key: Key, now: Time) {
+        if let Some(belief) = self.beliefs.get_mut(&key) {
+            for _ in 0..4 {
+                belief.strike(now);
+            }
+        }
+    }
+
+    /// Counts a request sent to a worker.
+    pub fn sent(&mut self, key: Key, now: Time) {
+        if let Some(belief) = self.beliefs.get_mut(&key) {
+            belief.inflight += 1;
+            belief.used = true;
+            belief.cold_share.sent(now);
+            if let Some((load, _)) = &mut belief.load {
+                load.running += 1;
+            }
+        }
+    }
+
+    /// Takes in how a request to a worker ended, where `expected` was expected of it.
+    pub fn ended(&mut self, key: Key, now: Time, outcome: Outcome, expected: Span) {
+        let Some(belief) = self.beliefs.get_mut(&key) else {
+            return;
+        };
+        belief.inflight = belief.inflight.saturating_sub(1);
+        match outcome {
+            Outcome::Failed => belief.failed(now),
+            Outcome::Served(took) => {
+                let expected = expected.max(Span::millis(1));
+                let factor = took.as_secs() / expected.as_secs() * belief.slowness(now).max(1.0);
+                belief.took(now, factor);
+            }
+            Outcome::Cancelled | Outcome::NotRun => {}
+        }
+    }
+
+    /// What a cold worker of a service may get from the fleet in a second.
+    pub fn cold_bound(service: &Service, factor: f64, slack: f64) -> f64 {
+        service.cold.rate * factor + slack
+    }
+
+    /// This daemon's place among the registered ones, in an order of the worker's own.
+    fn peers(&self, worker: &str) -> Peers {
+        let own = (rank(worker, &self.name), &self.name);
+        let before = |name: &&Name| (rank(worker, name), *name) < own;
+        Peers {
+            count: self.members.len(),
+            rank: self.members.keys().filter(before).count(),
+        }
+    }
+
+    fn remove(&mut self, key: Key) {
+        let Some(belief) = self.beliefs.remove(&key) else {
+            return;
+        };
+        if self.ids.get(&belief.worker.id) == Some(&key) {
+            self.ids.remove(&belief.worker.id);
+        }
+        if let Some(keys) = self.services.get_mut(&belief.worker.service) {
+            keys.retain(|other| *other != key);
+        }
+    }
+}
+
+/// The order in which workers are asked; lower first.
+fn tier(belief: &Belief, standing: Standing, near: bool, try_new: bool, now: Time) -> u32 {
+    match standing {
+        Standing::Usable if try_new && !belief.used => 0,
+        Standing::Usable => {
+            let bad = belief.load(now).is_some_and(|(load, age)| {
+                let full = load.running + load.waiting >= load.slots;
+                age < BAD_NEWS && (full || load.pace >= SLOW_PACE)
+            });
+            1 + u32::from(!near) + 2 * u32::from(bad)
+        }
+        Standing::Suspect => 5,
+        Standing::Leaving => 6,
+        Standing::Barred => 7,
+    }
+}
--- /dev/null
+++ b/crates/store/src/action.rs
@@ -0,0 +1,46 @@
+use {
+    platform::{Call, DecodeError, MemberEntry},
+    site::{Change, Rev, Topic},
+    unit::{Name, Span},
+};
+
+/// One call to the store, as this process numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// Why a call brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The connection could not be made or broke.
+    Broken,
+    /// There was no answer in time.
+    Late,
+    /// The answer could not be understood.
+    Unreadable,
+}
+
+/// What is to be done for the client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Make a call, and give up on its answer after a span.
+    Call(CallId, Call, Span),
+    /// Break off a call; its answer no longer matters.
+    Cancel(CallId),
+    /// Take in news.
+    News(News),
+}
+
+/// What the client learned.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// A topic changed.
+    Change(Change),
+    /// The store failed a call or refused it.
+    Lost(Option<Topic>),
+    /// All registered daemons, with the revisions of their entries.
+    Members(Vec<(Rev, MemberEntry)>),
+    /// The store answers again after it failed.
+    Regained,
+    /// An object can't be understood and is passed over.
+    Unreadable(Name, DecodeError),
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,13 @@
+//! The client of the platform's store: registers this daemon, reads the topics in full and watches
+//! them, and copes with answers that are late, lost or refused. A state machine without sockets.
+
+mod action;
+mod backoff;
+mod client;
+mod registration;
+mod topic;
+
+pub use {
+    action::{Action, CallId, Failure, News},
+    client::{Client, Role},
+};
--- /dev/null
+++ b/crates/store/src/registration.rs
@@ -0,0 +1,54 @@
+use {
+    crate::{CallId, backoff::Backoff},
+    platform::MemberEntry,
+    site::Rev,
+    unit::Time,
+};
+
+/// What the client does about this daemon's own entry.
+#[derive(Clone, Debug)]
+pub(crate) enum Stage {
+    /// The entry is being written.
+    Creating(CallId),
+    /// The entry exists and the list of all was read.
+    Done,
+    /// A page of the daemons' entries is awaited.
+    Listing {
+        call: CallId,
+        found: Vec<(Rev, MemberEntry)>,
+    },
+    /// The next call is due at a moment.
+    Pause(Time),
+    /// The entry under this daemon's name is another's and is being replaced.
+    Replacing(CallId),
+}
+
+/// This daemon's entry in the store.
+#[derive(Clone, Debug)]
+pub(crate) struct Registration {
+    pub(crate) backoff: Backoff,
+    /// Whether the entry is known to exist.
+    pub(crate) entered: bool,
+    pub(crate) own: MemberEntry,
+    pub(crate) stage: Stage,
+}
+
+impl Registration {
+    pub(crate) fn new(own: MemberEntry, now: Time) -> Self {
+        Self {
+            backoff: Backoff::default(),
+            entered: false,
+            own,
+            stage: Stage::Pause(now),
+        }
+    }
+
+    pub(crate) fn call(&self) -> Option<CallId> {
+        match &self.stage {
+            Stage::Creating(call) | Stage::Listing { call, .. } | Stage::Replacing(call) => {
+                Some(*call)
+            }
+            Stage::Done | Stage::Pause(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/topic.rs
@@ -0,0 +1,61 @@
+use {
+    crate::{CallId, backoff::Backoff},
+    platform::Object,
+    site::{Edition, Item, Rev, Topic},
+    unit::Time,
+};
+
+/// What the client does about a topic.
+#[derive(Clone, Debug)]
+pub(crate) enum Phase {
+    /// The page of a list is awaited; `rev` is that of the first page.
+    Listing {
+        call: CallId,
+        items: Vec<Edition<Item>>,
+        rev: Option<Rev>,
+    },
+    /// Another daemon watches.
+    Off,
+    /// The next call is due at a moment.
+    Pause(Time),
+    /// A change is awaited.
+    Watching(CallId),
+}
+
+/// A topic as the client follows it.
+#[derive(Clone, Debug)]
+pub(crate) struct Follow {
+    pub(crate) backoff: Backoff,
+    pub(crate) phase: Phase,
+    pub(crate) topic: Topic,
+}
+
+impl Follow {
+    pub(crate) fn new(topic: Topic) -> Self {
+        Self {
+            backoff: Backoff::default(),
+            phase: Phase::Off,
+            topic,
+        }
+    }
+
+    /// The call under way.
+    pub(crate) fn call(&self) -> Option<CallId> {
+        match &self.phase {
+            Phase::Listing { call, .. } | Phase::Watching(call) => Some(*call),
+            Phase::Off | Phase::Pause(_) => None,
+        }
+    }
+}
+
+/// The objects of a topic among those of an answer; `report` gets those that can't be understood.
+pub(crate) fn readable(objects: Vec<Object>, mut report: impl FnMut(Object)) -> Vec<Edition<Item>> {
+    let mut items = Vec::new();
+    for object in objects {
+        match object {
+            Object::Topic(item) => items.push(item),
+            other => report(other),
+        }
+    }
+    items
+}
--- a/crates/unit/src/clock.rs
+++ b/crates/unit/src/clock.rs
@@ -1,36 +1,40 @@
 use {
     crate::{Span, Time},
-    std::time::{Instant, SystemTime, UNIX_EPOCH},
+    nix::time::{ClockId, clock_gettime},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// A process's monotonic clock, tied once to the wall clock at its start.
-///
-/// A later step of the wall clock doesn't move it.
+/// A process's monotonic clock. It goes on while the machine is suspended, and steps of the time
+/// of day don't move it.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    epoch: Span,
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// Starts a clock whose origin is this moment.
     pub fn start() -> Self {
-        let epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Self {
-            epoch: Span::from(epoch),
-            origin: Instant::now(),
+            origin: boot_time(),
         }
     }
 
     /// The time now.
     pub fn now(&self) -> Time {
-        Time::at(Span::from(self.origin.elapsed()))
+        Time::at(Span::from(boot_time().saturating_sub(self.origin)))
     }
 
-    /// The system clock's value at `time`, in milliseconds since the Unix epoch.
-    pub fn unix_millis(&self, time: Time) -> u64 {
-        (self.epoch + time.since(Time::ZERO)).as_millis()
+    /// The time of day in milliseconds since the Unix epoch, for logs only; it may step.
+    pub fn unix_millis() -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        // A time of day before 1970 is written as 1970.
+        Span::from(since.unwrap_or_default()).as_millis()
     }
 }
+
+/// The time since the machine started, suspended time included.
+fn boot_time() -> Duration {
+    // The call fails only for clocks that the system doesn't know; this one is as old as the
+    // readiness calls that the daemon needs anyway.
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
+}
--- a/crates/unit/src/span.rs
+++ b/crates/unit/src/span.rs
@@ -31,6 +31,17 @@
         Self::millis(n.saturating_mul(1_000))
     }
 
+    /// A span of `seconds`, rounded to microseconds; nothing below zero.
+    pub fn from_secs(seconds: f64) -> Self {
+        // The cast saturates at both ends.
+        Self((seconds * 1e6).round() as u64)
+    }
+
+    /// This span times a factor of zero or more.
+    pub fn scale(self, factor: f64) -> Self {
+        Self::from_secs(self.as_secs() * factor)
+    }
+
     /// The span in whole microseconds.
     pub const fn as_micros(self) -> u64 {
         self.0
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,22 +1,20 @@
-//! Bounded HTTP/1.1 over blocking sockets, for callers, operators and upstreams.
-//!
-//! Heads are parsed by `httparse`. Every read has a deadline and every buffer a bound.
+//! HTTP/1.1 messages read from and written to byte buffers, without sockets or clocks.
 
 mod body;
-mod conn;
 mod error;
-mod head;
+mod headers;
 mod limits;
 mod request;
+mod request_reader;
 mod response;
-mod server;
+mod response_reader;
 
 pub use {
-    conn::Conn,
     error::WireError,
-    head::Headers,
+    headers::Headers,
     limits::Limits,
     request::Request,
+    request_reader::RequestReader,
     response::Response,
-    server::{Handler, Server},
+    response_reader::{Ending, ResponseReader},
 };
