--- a/crates/call/src/desk.rs
+++ b/crates/call/src/desk.rs
@@ -153,17 +153,22 @@
             self.settle(now, id);
             return;
         }
-        let skip = [&call.asked[..], &call.tried[..]].concat();
+        let mut skip = [&call.asked[..], &call.tried[..]].concat();
+        let excluded = call.tried.len();
         let service = call.service.clone();
         let bound = self.policy.bounds.probes;
-        let mut skip = skip;
         loop {
             let wanted = Wanted {
                 skip: &skip,
                 service: &service,
             };
             let Some(choice) = self.table.next(now, &wanted, &mut self.rng) else {
-                self.settle(now, id);
+                if skip.len() == excluded {
+                    // There is no worker to wait for.
+                    self.give_up(now, id);
+                } else {
+                    self.settle(now, id);
+                }
                 return;
             };
             // Workers that failed or leave are asked only where nothing better was found.
--- /dev/null
+++ b/crates/call/tests/desk/cold.rs
@@ -0,0 +1,58 @@
+//! Workers that have just started.
+
+use {
+    crate::scene::{Scene, bounds, free, route},
+    call::Action,
+    site::{Health, Kind},
+    std::sync::Arc,
+    unit::{Map, Name, Span},
+};
+
+fn cold() -> Health {
+    Health {
+        cold: Span::secs(1),
+        ..free()
+    }
+}
+
+#[test]
+fn a_cold_worker_gets_no_more_from_a_daemon_than_its_share() {
+    let mut scene = Scene::new(&["x"]);
+    let names = (1..13).map(|number| format!("front-b-{number}"));
+    let members: Map<Name, Name> = names.map(|name| (name.as_str().into(), "b".into())).collect();
+    scene.desk.table.set_members(members);
+    let route = Arc::new(route("r", Kind::Idempotent));
+    let mut sent = 0;
+    for _ in 0..50 {
+        scene.begin(&route);
+        let others = scene.pass_telling(Span::millis(19), &cold());
+        sent += others
+            .iter()
+            .filter(|action| matches!(action, Action::Send(..)))
+            .count();
+    }
+    let bound = 14.0 * bounds().cold_factor + bounds().cold_slack;
+    assert!((1..=2).contains(&sent), "{sent} of {bound}");
+}
+
+#[test]
+fn a_warm_worker_is_taken_before_the_share_of_a_cold_one_is_spent() {
+    let mut scene = Scene::new(&["x", "y"]);
+    let route = Arc::new(route("r", Kind::Idempotent));
+    let names = (1..40).map(|number| format!("front-b-{number}"));
+    let members: Map<Name, Name> = names.map(|name| (name.as_str().into(), "b".into())).collect();
+    scene.desk.table.set_members(members);
+    for _ in 0..10 {
+        scene.pass(Span::millis(20));
+        scene.begin(&route);
+        loop {
+            match scene.take() {
+                Action::Ask { link, .. } if &*scene.name(link) == "x" => scene.told(link, cold()),
+                Action::Ask { link, .. } => scene.told(link, free()),
+                Action::Release(_) => {}
+                Action::Send(..) => break,
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/call/tests/desk/failures.rs
@@ -0,0 +1,159 @@
+//! What becomes of a request when a worker fails it.
+
+use {
+    crate::scene::{Scene, bounds, free, route},
+    call::{Action, Answer, Event, Policy, Refusal},
+    site::Kind,
+    std::sync::Arc,
+    unit::Span,
+};
+
+#[test]
+fn a_request_that_may_run_once_is_not_sent_again_after_it_may_have_run() {
+    for answer in [Answer::Lost, Answer::Spoiled] {
+        let mut scene = Scene::new(&["x", "y"]);
+        let link = scene.at_work(&Arc::new(route("r", Kind::AtMostOnce)));
+        scene.answered(link, answer);
+        assert_eq!(scene.refused(), Refusal::Lost);
+        assert!(scene.desk.is_empty() && scene.actions.is_empty());
+    }
+}
+
+#[test]
+fn a_request_that_may_run_once_gets_the_workers_own_error() {
+    let mut scene = Scene::new(&["x", "y"]);
+    let link = scene.at_work(&Arc::new(route("r", Kind::AtMostOnce)));
+    scene.answered(link, Answer::Failed);
+    assert!(matches!(scene.take(), Action::Forward(_, forwarded) if forwarded == link));
+}
+
+#[test]
+fn any_request_that_did_not_run_goes_to_another_worker() {
+    for kind in [Kind::AtMostOnce, Kind::Idempotent] {
+        for answer in [Answer::NotRun, Answer::Misdirected, Answer::Unsent] {
+            let mut scene = Scene::new(&["x", "y"]);
+            let first = scene.at_work(&Arc::new(route("r", kind)));
+            scene.answered(first, answer);
+            let second = scene.ask();
+            assert_ne!(scene.name(first), scene.name(second));
+            scene.told(second, free());
+            assert_eq!(scene.sent(), second);
+            scene.answered(second, answer);
+            assert!(matches!(scene.refused(), Refusal::NotRun(_)), "{kind:?} {answer}");
+        }
+    }
+}
+
+#[test]
+fn an_idempotent_request_is_sent_again_and_its_loss_is_never_called_not_run() {
+    for answer in [Answer::Lost, Answer::Spoiled] {
+        let mut scene = Scene::new(&["x", "y", "z"]);
+        let first = scene.at_work(&Arc::new(route("r", Kind::Idempotent)));
+        scene.answered(first, answer);
+        let second = scene.ask();
+        scene.told(second, free());
+        assert_eq!(scene.sent(), second);
+        scene.answered(second, Answer::NotRun);
+        assert_eq!(scene.refused(), Refusal::Lost);
+    }
+}
+
+#[test]
+fn a_workers_error_is_given_where_no_other_worker_does_better() {
+    let mut scene = Scene::new(&["x", "y"]);
+    let first = scene.at_work(&Arc::new(route("r", Kind::Idempotent)));
+    scene.answered(first, Answer::Failed);
+    let second = scene.ask();
+    scene.told(second, free());
+    assert_eq!(scene.sent(), second);
+    scene.answered(second, Answer::Lost);
+    assert!(matches!(scene.take(), Action::Forward(_, forwarded) if forwarded == first));
+}
+
+#[test]
+fn repeats_end_where_the_budget_does() {
+    let mut policy = Policy::new(bounds());
+    policy.bounds.retry_extra = 0.0;
+    policy.bounds.retry_ratio = 0.2;
+    let mut scene = Scene::with_policy(&["x", "y"], policy);
+    let route = Arc::new(route("r", Kind::Idempotent));
+    let mut repeats = 0;
+    for _ in 0..100 {
+        scene.pass(Span::millis(20));
+        let first = scene.at_work(&route);
+        scene.answered(first, Answer::NotRun);
+        let second = scene.ask();
+        scene.told(second, free());
+        match scene.take() {
+            Action::Send(_, link, _) => {
+                repeats += 1;
+                scene.answered(link, Answer::Served);
+                scene.take();
+            }
+            Action::Release(_) => assert!(matches!(scene.refused(), Refusal::NotRun(_))),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!((15..=20).contains(&repeats), "{repeats}");
+}
+
+#[test]
+fn the_routes_time_ends_a_request_at_once() {
+    let mut scene = Scene::new(&["x"]);
+    let link = scene.at_work(&Arc::new(route("r", Kind::AtMostOnce)));
+    scene.pass(Span::millis(799));
+    assert!(scene.actions.is_empty());
+    scene.pass(Span::millis(1));
+    assert_eq!(scene.take(), Action::Close(link));
+    assert_eq!(scene.refused(), Refusal::Timeout);
+}
+
+#[test]
+fn an_idempotent_request_at_a_slow_worker_goes_to_a_second_and_the_first_answer_counts() {
+    let mut scene = Scene::new(&["x", "y"]);
+    let first = scene.at_work(&Arc::new(route("r", Kind::Idempotent)));
+    scene.pass(Span::millis(150));
+    let second = scene.ask();
+    scene.told(second, free());
+    assert_eq!(scene.sent(), second);
+    scene.answered(second, Answer::Served);
+    assert!(matches!(scene.take(), Action::Forward(_, link) if link == second));
+    assert_eq!(scene.take(), Action::Close(first));
+    assert!(scene.desk.is_empty());
+}
+
+#[test]
+fn a_request_that_may_run_once_is_never_sent_twice_for_slowness() {
+    let mut scene = Scene::new(&["x", "y"]);
+    scene.at_work(&Arc::new(route("r", Kind::AtMostOnce)));
+    scene.pass(Span::millis(700));
+    assert!(scene.actions.is_empty());
+}
+
+#[test]
+fn a_caller_that_goes_away_ends_all_that_was_under_way() {
+    let mut scene = Scene::new(&["x", "y"]);
+    let call = scene.begin(&Arc::new(route("r", Kind::Idempotent)));
+    let link = scene.ask();
+    scene.told(link, free());
+    assert_eq!(scene.sent(), link);
+    scene.pass(Span::millis(150));
+    let second = scene.ask();
+    scene.step(Event::Gone(call));
+    assert_eq!(scene.take(), Action::Close(link));
+    assert_eq!(scene.take(), Action::Close(second));
+    assert!(scene.desk.is_empty() && scene.actions.is_empty());
+}
+
+#[test]
+fn workers_that_can_not_be_reached_are_passed_over() {
+    let mut scene = Scene::new(&["x", "y", "z"]);
+    scene.begin(&Arc::new(route("r", Kind::Idempotent)));
+    let first = scene.ask();
+    scene.unreachable(first);
+    let second = scene.ask();
+    scene.unreachable(second);
+    let third = scene.ask();
+    scene.told(third, free());
+    assert_eq!(scene.sent(), third);
+}
--- /dev/null
+++ b/crates/call/tests/desk/scene.rs
@@ -0,0 +1,234 @@
+//! A desk with workers that tests let answer as they like.
+
+use {
+    call::{
+        Action, Answer, AskFailure, Begin, CallId, Desk, Event, LinkId, Policy, Refusal, Told,
+    },
+    conf::Bounds,
+    pick::{Key, Table},
+    site::{ColdStart, Config, Health, Kind, Load, Route, Service, State, Target, Worker},
+    std::sync::Arc,
+    unit::{Map, Name, Span, Time},
+};
+
+/// What users allow a fleet, as tests suppose it.
+pub(crate) fn bounds() -> Bounds {
+    Bounds {
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+        drain: Span::secs(2),
+        grace: Span::secs(6),
+        keep: Span::secs(5),
+        probes: 10_000.0,
+        retry_extra: 56.0,
+        retry_ratio: 0.2,
+        retry_window: Span::secs(10),
+        stable: Span::secs(3),
+    }
+}
+
+pub(crate) fn route(name: &str, kind: Kind) -> Route {
+    Route {
+        attempts: 2,
+        kind,
+        name: name.into(),
+        objective: Span::millis(200),
+        prefix: "/".into(),
+        priority: 1,
+        targets: vec![Target {
+            service: "s".into(),
+            weight: 1,
+        }],
+        timeout: Span::millis(800),
+    }
+}
+
+pub(crate) fn service(name: &str) -> Service {
+    Service {
+        cold: ColdStart {
+            rate: 14.0,
+            span: Span::secs(3),
+        },
+        conns: 220,
+        health: "/healthz".into(),
+        name: name.into(),
+    }
+}
+
+pub(crate) fn worker(id: &str) -> Worker {
+    Worker {
+        address: "10.0.0.1:80".parse().expect("an address"),
+        beats: 1,
+        born: 1,
+        centre: "a".into(),
+        cold: Span::ZERO,
+        id: id.into(),
+        service: "s".into(),
+        slots: 4,
+        state: State::Ready,
+    }
+}
+
+pub(crate) fn free() -> Health {
+    health(0, 0, 100)
+}
+
+pub(crate) fn health(running: u32, waiting: u32, pace: u32) -> Health {
+    Health {
+        cold: Span::ZERO,
+        healthy: true,
+        id: None,
+        load: Some(Load {
+            pace,
+            running,
+            slots: 4,
+            waiting,
+        }),
+    }
+}
+
+/// A desk, the moment, and what it wants done.
+pub(crate) struct Scene {
+    pub(crate) actions: Vec<Action>,
+    pub(crate) desk: Desk,
+    next: u64,
+    pub(crate) now: Time,
+    /// The worker of each use of a connection.
+    pub(crate) workers: Map<LinkId, Key>,
+}
+
+impl Scene {
+    /// A desk whose service `s` has the workers `ids`.
+    pub(crate) fn new(ids: &[&str]) -> Self {
+        Self::with_policy(ids, Policy::new(bounds()))
+    }
+
+    pub(crate) fn with_policy(ids: &[&str], policy: Policy) -> Self {
+        let now = Time::at(Span::secs(100));
+        let mut table = Table::new("front-a-1".into(), "a".into());
+        for id in ids {
+            table.enter(worker(id), now);
+        }
+        let mut desk = Desk::new(policy, table, fastrand::Rng::with_seed(1));
+        let mut config = Config::default();
+        for name in ["s", "t"] {
+            config.services.insert(name.into(), Arc::new(service(name)));
+        }
+        desk.configure(Arc::new(config));
+        Self {
+            actions: Vec::new(),
+            desk,
+            next: 0,
+            now,
+            workers: Map::default(),
+        }
+    }
+
+    pub(crate) fn begin(&mut self, route: &Arc<Route>) -> CallId {
+        let call = CallId(self.next);
+        self.next += 1;
+        self.step(Event::Begin(Begin {
+            call,
+            deadline: Some(Span::secs(1)),
+            route: Arc::clone(route),
+        }));
+        call
+    }
+
+    pub(crate) fn step(&mut self, event: Event) {
+        let actions = self.desk.step(self.now, event);
+        for action in &actions {
+            if let Action::Ask { link, worker } = action {
+                self.workers.insert(*link, *worker);
+            }
+        }
+        self.actions.extend(actions);
+        self.desk.take_notes();
+    }
+
+    /// Lets time pass, with every timer on its way.
+    pub(crate) fn pass(&mut self, span: Span) {
+        let end = self.now + span;
+        while let Some(at) = self.desk.next_tick().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.step(Event::Tick);
+        }
+        self.now = end;
+    }
+
+    /// The next action, which must be a question to a worker.
+    pub(crate) fn ask(&mut self) -> LinkId {
+        match self.take() {
+            Action::Ask { link, .. } => link,
+            other => panic!("no question but {other:?}"),
+        }
+    }
+
+    /// The next action, which must send a request.
+    pub(crate) fn sent(&mut self) -> LinkId {
+        match self.take() {
+            Action::Send(_, link, _) => link,
+            other => panic!("not sent but {other:?}"),
+        }
+    }
+
+    /// The next action, which must refuse a request.
+    pub(crate) fn refused(&mut self) -> Refusal {
+        match self.take() {
+            Action::Refuse(_, refusal) => refusal,
+            other => panic!("not refused but {other:?}"),
+        }
+    }
+
+    pub(crate) fn take(&mut self) -> Action {
+        assert!(!self.actions.is_empty(), "nothing is to be done");
+        self.actions.remove(0)
+    }
+
+    pub(crate) fn told(&mut self, link: LinkId, health: Health) {
+        self.step(Event::Asked(link, Ok(health)));
+    }
+
+    pub(crate) fn unreachable(&mut self, link: LinkId) {
+        self.step(Event::Asked(link, Err(AskFailure::Broken)));
+    }
+
+    pub(crate) fn answered(&mut self, link: LinkId, answer: Answer) {
+        self.step(Event::Answered(link, Told { answer, load: None }));
+    }
+
+    /// Sends a request to the first worker that is asked.
+    pub(crate) fn at_work(&mut self, route: &Arc<Route>) -> LinkId {
+        self.begin(route);
+        let link = self.ask();
+        self.told(link, free());
+        assert_eq!(self.sent(), link);
+        link
+    }
+
+    pub(crate) fn name(&self, link: LinkId) -> Name {
+        let belief = self.desk.table.get(self.workers[&link]);
+        belief.expect("a worker").worker.id.clone()
+    }
+
+    /// Answers questions with `health` while time passes; tells what else is wanted.
+    pub(crate) fn pass_telling(&mut self, span: Span, health: &Health) -> Vec<Action> {
+        let end = self.now + span;
+        let mut others = Vec::new();
+        loop {
+            while !self.actions.is_empty() {
+                match self.take() {
+                    Action::Ask { link, .. } => self.told(link, health.clone()),
+                    Action::Release(_) => {}
+                    other => others.push(other),
+                }
+            }
+            let Some(at) = self.desk.next_tick().filter(|at| *at <= end) else {
+                self.now = end;
+                return others;
+            };
+            self.now = self.now.max(at);
+            self.step(Event::Tick);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pick/tests/table.rs
@@ -0,0 +1,216 @@
+//! The order in which workers are asked, and what is believed of them.
+
+use {
+    fastrand::Rng,
+    pick::{Key, Outcome, Standing, Table, Typical, Wanted},
+    site::{Departure, Health, Load, State, Worker},
+    unit::{Name, Span, Time},
+};
+
+fn at(millis: u64) -> Time {
+    Time::at(Span::millis(millis))
+}
+
+fn worker(id: &str, centre: &str) -> Worker {
+    Worker {
+        address: "10.0.0.1:80".parse().expect("an address"),
+        beats: 1,
+        born: 1,
+        centre: centre.into(),
+        cold: Span::ZERO,
+        id: id.into(),
+        service: "s".into(),
+        slots: 4,
+        state: State::Ready,
+    }
+}
+
+fn table() -> Table {
+    Table::new("front-a-1".into(), "a".into())
+}
+
+fn health(load: Option<Load>) -> Health {
+    Health {
+        cold: Span::ZERO,
+        healthy: true,
+        id: None,
+        load,
+    }
+}
+
+fn load(running: u32, pace: u32) -> Load {
+    Load {
+        pace,
+        running,
+        slots: 4,
+        waiting: 0,
+    }
+}
+
+/// The workers in the order in which they are asked.
+fn order(table: &Table, now: Time) -> Vec<Name> {
+    let mut rng = Rng::with_seed(7);
+    let mut skip: Vec<Key> = Vec::new();
+    let mut names = Vec::new();
+    loop {
+        let wanted = Wanted {
+            skip: &skip,
+            service: "s",
+        };
+        let Some(choice) = table.next(now, &wanted, &mut rng) else {
+            return names;
+        };
+        skip.push(choice.key);
+        names.extend(table.get(choice.key).map(|belief| belief.worker.id.clone()));
+    }
+}
+
+fn use_once(table: &mut Table, keys: &[Key]) {
+    for key in keys {
+        table.sent(*key, at(0));
+        table.ended(*key, at(0), Outcome::Cancelled, Span::ZERO);
+    }
+}
+
+#[test]
+fn asks_the_own_data_centre_first_and_those_that_failed_last() {
+    let mut table = table();
+    let keys = [("far", "b"), ("near", "a"), ("ill", "a")]
+        .map(|(id, centre)| table.enter(worker(id, centre), at(0)));
+    use_once(&mut table, &keys);
+    table.strike(keys[2], at(0));
+    assert_eq!(order(&table, at(1)), ["near".into(), "far".into(), Name::from("ill")]);
+}
+
+#[test]
+fn passes_over_workers_just_found_slow_or_full() {
+    let mut table = table();
+    let keys = [("slow", "a"), ("full", "a"), ("far", "b")]
+        .map(|(id, centre)| table.enter(worker(id, centre), at(0)));
+    use_once(&mut table, &keys);
+    table.health(keys[0], at(0), &health(Some(load(0, 500))));
+    table.health(keys[1], at(0), &health(Some(load(4, 100))));
+    assert_eq!(order(&table, at(10))[0], "far".into());
+    assert_ne!(order(&table, at(200))[0], "far".into());
+}
+
+#[test]
+fn a_worker_that_leaves_is_asked_last_and_soon_not_at_all() {
+    let mut table = table();
+    let key = table.enter(worker("x", "a"), at(0));
+    let mut draining = worker("x", "a");
+    draining.state = State::Draining;
+    assert_eq!(table.enter(draining, at(1_000)), key);
+    assert_eq!(table.standing(key, at(1_001)), Standing::Leaving);
+    assert_eq!(table.standing(key, at(1_400)), Standing::Barred);
+    assert!(order(&table, at(1_400)).is_empty());
+    table.forget(at(1_500));
+    assert!(table.get(key).is_none());
+}
+
+#[test]
+fn a_worker_whose_entry_lapsed_is_used_for_longer_than_one_that_left() {
+    for (departure, later) in [(Departure::Left, Standing::Barred), (Departure::Lapsed, Standing::Leaving)] {
+        let mut table = table();
+        let key = table.enter(worker("x", "a"), at(0));
+        table.leave("x", departure, at(0));
+        assert_eq!(table.standing(key, at(1_500)), later);
+    }
+}
+
+#[test]
+fn an_evacuated_data_centre_gets_nothing_until_it_is_taken_back() {
+    let mut table = table();
+    let key = table.enter(worker("x", "b"), at(0));
+    table.evacuate("b".into(), true);
+    assert_eq!(table.standing(key, at(0)), Standing::Barred);
+    table.evacuate("b".into(), false);
+    assert_eq!(table.standing(key, at(0)), Standing::Usable);
+}
+
+#[test]
+fn a_new_life_under_the_same_id_inherits_nothing() {
+    let mut table = table();
+    let old = table.enter(worker("x", "a"), at(0));
+    table.strike(old, at(0));
+    let mut reborn = worker("x", "a");
+    reborn.born = 2;
+    let new = table.enter(reborn, at(10));
+    assert_ne!(old, new);
+    assert!(table.get(old).is_none());
+    assert_eq!(table.standing(new, at(10)), Standing::Usable);
+}
+
+#[test]
+fn failures_make_a_worker_suspect_for_a_while() {
+    let mut table = table();
+    let key = table.enter(worker("x", "a"), at(0));
+    for _ in 0..2 {
+        table.sent(key, at(0));
+        table.ended(key, at(0), Outcome::Failed, Span::millis(50));
+    }
+    assert_eq!(table.standing(key, at(100)), Standing::Suspect);
+    assert_eq!(table.standing(key, at(5_000)), Standing::Usable);
+}
+
+#[test]
+fn expects_more_of_a_free_worker_at_usual_pace() {
+    let mut table = table();
+    let key = table.enter(worker("x", "a"), at(0));
+    let typical = Span::millis(60);
+    let mut expected = |load| {
+        table.health(key, at(0), &health(Some(load)));
+        table.get(key).map(|belief| belief.expected(at(0), typical))
+    };
+    let free = expected(load(0, 100));
+    assert_eq!(free, Some(typical));
+    assert!(expected(load(3, 100)) > free);
+    assert!(expected(load(4, 100)) > expected(load(3, 100)));
+    assert_eq!(expected(load(0, 500)), Some(Span::millis(300)));
+}
+
+#[test]
+fn a_worker_slower_than_its_load_lets_expect_is_found_out_and_forgiven() {
+    let mut table = table();
+    let key = table.enter(worker("x", "a"), at(0));
+    for _ in 0..8 {
+        table.sent(key, at(0));
+        table.ended(key, at(0), Outcome::Served(Span::millis(600)), Span::millis(60));
+    }
+    let slowness = |now| table.get(key).map_or(0.0, |belief| belief.slowness(now));
+    assert!(slowness(at(0)) > 5.0);
+    assert!(slowness(at(30_000)) < 1.1);
+}
+
+#[test]
+fn near_and_far_daemons_share_a_workers_health_requests() {
+    let members = [("front-a-1", "a"), ("front-a-2", "a"), ("front-b-1", "b")];
+    let members: unit::Map<Name, Name> = members
+        .into_iter()
+        .map(|(name, centre)| (name.into(), centre.into()))
+        .collect();
+    let mut taken = 0;
+    for (name, centre) in &members {
+        let mut table = Table::new(name.clone(), centre.clone());
+        table.set_members(members.clone());
+        let key = table.enter(worker("x", "a"), at(0));
+        taken += (0..10_000)
+            .filter(|millis| table.take_probe(key, at(*millis), 60.0))
+            .count();
+    }
+    assert!(taken <= 600 + 3, "{taken}");
+    assert!(taken >= 500, "{taken}");
+}
+
+#[test]
+fn the_typical_time_follows_the_median() {
+    let mut typical = Typical::new(Span::millis(10));
+    for _ in 0..200 {
+        typical.add(Span::millis(60));
+        typical.add(Span::millis(60));
+        typical.add(Span::secs(3));
+        typical.add(Span::millis(50));
+    }
+    let millis = typical.span().as_millis();
+    assert!((45..=75).contains(&millis), "{millis}");
+}
--- /dev/null
+++ b/crates/wire/tests/requests.rs
@@ -0,0 +1,134 @@
+//! Requests read from the bytes of a connection.
+
+use wire::{Limits, Request, RequestReader, WireError};
+
+fn reader() -> RequestReader {
+    RequestReader::new(Limits { body: 64, head: 512 })
+}
+
+fn read(bytes: &[u8]) -> Result<Option<Request>, WireError> {
+    let mut reader = reader();
+    reader.push(bytes);
+    reader.take()
+}
+
+fn whole(bytes: &[u8]) -> Request {
+    read(bytes).expect("readable").expect("whole")
+}
+
+#[test]
+fn reads_a_request_byte_by_byte() {
+    let bytes = b"POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    let mut reader = reader();
+    for byte in &bytes[..bytes.len() - 1] {
+        reader.push(&[*byte]);
+        assert_eq!(reader.take(), Ok(None));
+        assert!(reader.begun());
+    }
+    reader.push(&bytes[bytes.len() - 1..]);
+    let request = reader.take().expect("readable").expect("whole");
+    assert_eq!(request.body, b"abc");
+    assert_eq!(request.path(), "/a/b");
+    assert_eq!(request.query("c"), Some("d"));
+    assert!(!reader.begun());
+}
+
+#[test]
+fn reads_pipelined_requests_in_order() {
+    let mut reader = reader();
+    reader.push(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    let targets: Vec<String> = std::iter::from_fn(|| reader.take().expect("readable"))
+        .map(|request| request.target)
+        .collect();
+    assert_eq!(targets, ["/1", "/2"]);
+}
+
+#[test]
+fn joins_chunks_and_passes_over_trailers() {
+    let request = whole(
+        b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n\
+          3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: t\r\n\r\n",
+    );
+    assert_eq!(request.body, b"abcde");
+}
+
+#[test]
+fn refuses_what_could_hide_a_second_request() {
+    let cases: [&[u8]; 7] = [
+        b"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        b"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+        b"POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\nabc",
+        b"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ];
+    for case in cases {
+        let text = String::from_utf8_lossy(case);
+        assert_eq!(read(case), Err(WireError::Framing), "{text}");
+    }
+}
+
+#[test]
+fn refuses_a_chunk_that_does_not_end_where_it_says() {
+    let bytes = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n";
+    assert_eq!(read(bytes), Err(WireError::Framing));
+}
+
+#[test]
+fn refuses_heads_and_bodies_beyond_the_limits() {
+    let long = format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(600));
+    assert_eq!(read(long.as_bytes()), Err(WireError::HeadLimit));
+    let endless = format!("GET /{}", "x".repeat(600));
+    assert_eq!(read(endless.as_bytes()), Err(WireError::HeadLimit));
+    let sized = b"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n";
+    assert_eq!(read(sized), Err(WireError::BodyLimit));
+    let chunked = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n";
+    assert_eq!(read(chunked), Err(WireError::BodyLimit));
+    let huge = b"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n";
+    assert_eq!(read(huge), Err(WireError::BodyLimit));
+}
+
+#[test]
+fn tells_when_the_sender_waits_for_leave() {
+    let mut reader = reader();
+    reader.push(b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    assert_eq!(reader.take(), Ok(None));
+    assert!(reader.continue_due());
+    assert!(!reader.continue_due());
+    reader.push(b"ab");
+    assert_eq!(reader.take().expect("readable").expect("whole").body, b"ab");
+}
+
+#[test]
+fn knows_which_request_is_the_last() {
+    assert!(whole(b"GET / HTTP/1.1\r\nConnection: foo, Close\r\n\r\n").last());
+    assert!(!whole(b"GET / HTTP/1.1\r\n\r\n").last());
+    assert!(whole(b"GET / HTTP/1.0\r\n\r\n").last());
+    assert!(!whole(b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n").last());
+}
+
+#[test]
+fn forwards_neither_hop_by_hop_headers_nor_those_that_connection_names() {
+    let request = whole(
+        b"GET / HTTP/1.1\r\nConnection: close, x-own\r\nX-Own: 1\r\nTE: trailers\r\nKeep-Alive: 3\r\n\
+          X-Kept: \xff\r\n\r\n",
+    );
+    let kept: Vec<&str> = request.headers.end_to_end().map(|(name, _)| name).collect();
+    assert_eq!(kept, ["X-Kept"]);
+    let mut out = Vec::new();
+    request.encode(&mut out);
+    assert_eq!(out, b"GET / HTTP/1.1\r\nX-Kept: \xff\r\n\r\n");
+}
+
+#[test]
+fn writes_a_length_for_bodies_and_for_methods_that_have_one() {
+    let mut request = Request::new("POST", "/");
+    let mut out = Vec::new();
+    request.encode(&mut out);
+    assert_eq!(out, b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    request.body = b"ab".to_vec();
+    out.clear();
+    request.encode(&mut out);
+    assert_eq!(out, b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab");
+}
--- /dev/null
+++ b/crates/wire/tests/responses.rs
@@ -0,0 +1,96 @@
+//! Responses read from the bytes of a connection.
+
+use wire::{Ending, Limits, Response, ResponseReader, WireError};
+
+fn reader(bytes: &[u8]) -> ResponseReader {
+    let mut reader = ResponseReader::new(Limits { body: 64, head: 512 });
+    reader.push(bytes);
+    reader
+}
+
+#[test]
+fn reads_responses_one_after_another() {
+    let mut reader = reader(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 204 No Content\r\n\r\n",
+    );
+    let first = reader.take(false).expect("readable").expect("whole");
+    assert_eq!((first.status, &first.body[..]), (200, &b"ab"[..]));
+    let second = reader.take(false).expect("readable").expect("whole");
+    assert_eq!(second.status, 204);
+    assert!(!reader.begun());
+}
+
+#[test]
+fn passes_over_interim_responses() {
+    let mut reader = reader(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let response = reader.take(false).expect("readable").expect("whole");
+    assert_eq!(response.status, 200);
+}
+
+#[test]
+fn a_response_without_a_length_is_whole_only_after_an_orderly_close() {
+    let bytes = b"HTTP/1.1 200 OK\r\n\r\nabc";
+    let mut closed = reader(bytes);
+    assert_eq!(closed.take(false), Ok(None));
+    let response = closed.finish(Ending::Closed).expect("whole").expect("there");
+    assert_eq!(response.body, b"abc");
+    let mut reset = reader(bytes);
+    assert_eq!(reset.take(false), Ok(None));
+    assert_eq!(reset.finish(Ending::Reset), Err(WireError::Short));
+}
+
+#[test]
+fn a_response_cut_short_is_never_whole() {
+    for bytes in [
+        &b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc"[..],
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        b"HTTP/1.1 200 O",
+    ] {
+        let mut reader = reader(bytes);
+        assert_eq!(reader.take(false), Ok(None));
+        assert_eq!(reader.finish(Ending::Closed), Err(WireError::Short));
+    }
+}
+
+#[test]
+fn an_end_between_responses_is_no_response() {
+    assert_eq!(reader(b"").finish(Ending::Closed), Ok(None));
+}
+
+#[test]
+fn tells_of_bytes_that_follow_a_response() {
+    let mut reader = reader(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nrest");
+    assert!(reader.take(false).expect("readable").is_some());
+    assert!(reader.begun());
+    assert_eq!(reader.take(false), Err(WireError::Malformed));
+}
+
+#[test]
+fn an_answer_to_head_has_no_body() {
+    let mut reader = reader(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+    let response = reader.take(true).expect("readable").expect("whole");
+    assert!(response.body.is_empty());
+}
+
+#[test]
+fn refuses_what_is_no_response() {
+    assert_eq!(reader(b"garbage\r\n\r\n").take(false), Err(WireError::Malformed));
+    let mut long = reader(b"HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n");
+    assert_eq!(long.take(false), Err(WireError::BodyLimit));
+}
+
+#[test]
+fn writes_the_length_and_the_close() {
+    let mut response = Response::new(503);
+    response.headers.add("Connection", "keep-alive");
+    response.headers.add("X", 1);
+    response.body = b"no".to_vec();
+    response.last = true;
+    let mut out = Vec::new();
+    response.encode(&mut out, false);
+    let text = String::from_utf8(out).expect("text");
+    assert_eq!(
+        text,
+        "HTTP/1.1 503 Service Unavailable\r\nX: 1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nno"
+    );
+}
