--- a/crates/call/src/action.rs
+++ b/crates/call/src/action.rs
@@ -31,6 +31,13 @@
     Forward(CallId, LinkId),
     /// Give the caller an answer of the product's own, which ends the request.
     Refuse(CallId, Refusal),
+    /// Have a connection to a worker ready without asking it anything.
+    Open {
+        /// The use of the connection.
+        link: LinkId,
+        /// The worker.
+        worker: Key,
+    },
     /// The connection is free for other requests.
     Release(LinkId),
     /// Send the request on the connection, telling the worker how much time is left.
--- a/crates/call/src/desk.rs
+++ b/crates/call/src/desk.rs
@@ -31,6 +31,10 @@
 const COME_BACK: f64 = 0.5;
 /// Requests beyond its slots that a worker gets from requests of the highest rank.
 const URGENT_QUEUE: u32 = 2;
+/// How old a load may be to be relied on.
+const OLD_LOAD: Span = Span::millis(50);
+/// How long a worker that was warm is taken for warm without being asked.
+const WARM_FOR: Span = Span::millis(500);
 /// Least time that must be left for a worker to be given the request.
 const MIN_LEFT: Span = Span::millis(5);
 
@@ -99,7 +103,8 @@
             Event::Answered(link, told) => self.answered(now, link, told),
             Event::Asked(link, health) => self.asked(now, link, health),
             Event::Begin(begin) => self.begin(now, begin),
-            Event::Gone(call) => self.gone(now, call),
+            Event::Gone(call) => self.gone(call),
+            Event::Opened(link, result) => self.opened(now, link, result),
             Event::Tick => self.tick(now),
         }
         std::mem::take(&mut self.actions)
@@ -154,7 +159,7 @@
             return;
         }
         let mut skip = [&call.asked[..], &call.tried[..]].concat();
-        let excluded = call.tried.len();
+        let (excluded, asked) = (call.tried.len(), skip.len());
         let service = call.service.clone();
         let bound = self.policy.bounds.probes;
         loop {
@@ -166,6 +171,8 @@
                 if skip.len() == excluded {
                     // There is no worker to wait for.
                     self.give_up(now, id);
+                } else if skip.len() > asked {
+                    self.choose_unasked(now, id);
                 } else {
                     self.settle(now, id);
                 }
@@ -186,12 +193,16 @@
     }
 
     fn ask(&mut self, now: Time, id: CallId, worker: Key) {
-        let Some(call) = self.calls.get_mut(&id) else {
-            return;
-        };
+        let until = now + self.policy.ask_time;
+        if let Some(link) = self.begin_ask(id, worker, until) {
+            self.actions.push(Action::Ask { link, worker });
+        }
+    }
+
+    fn begin_ask(&mut self, id: CallId, worker: Key, until: Time) -> Option<LinkId> {
+        let call = self.calls.get_mut(&id)?;
         let link = LinkId(self.next_link);
         self.next_link += 1;
-        let until = now + self.policy.ask_time;
         call.asked.push(worker);
         call.ask = Some(Ask {
             link,
@@ -200,7 +211,88 @@
         });
         self.links.insert(link, id);
         self.timers.push(Reverse((until, id)));
-        self.actions.push(Action::Ask { link, worker });
+        Some(link)
+    }
+
+    /// Where the health requests that the daemon may make are spent, goes by what is known of the
+    /// workers. This answers load of more requests a worker and second than those.
+    fn choose_unasked(&mut self, now: Time, id: CallId) {
+        let Some(call) = self.calls.get(&id).cloned() else {
+            return;
+        };
+        if call.offer.is_some() {
+            self.settle(now, id);
+            return;
+        }
+        let mut skip = [&call.asked[..], &call.tried[..]].concat();
+        loop {
+            let wanted = Wanted {
+                skip: &skip,
+                service: &call.service,
+            };
+            let choice = self.table.next(now, &wanted, &mut self.rng);
+            let Some(choice) = choice.filter(|choice| choice.standing == Standing::Usable) else {
+                self.settle(now, id);
+                return;
+            };
+            if self.seems_free(now, &call, choice.key) {
+                self.open(now, id, choice.key);
+                return;
+            }
+            skip.push(choice.key);
+        }
+    }
+
+    /// Whether a worker has room as far as is known, and may get work without being asked.
+    fn seems_free(&mut self, now: Time, call: &Call, worker: Key) -> bool {
+        let Some(belief) = self.table.get(worker) else {
+            return false;
+        };
+        let load = belief.load(now);
+        let room = load.is_none_or(|(load, age)| age > OLD_LOAD || self.has_room(call, load));
+        let warm = !belief.is_cold(now) && load.is_some_and(|(_, age)| age < WARM_FOR);
+        room && (warm || self.admits_cold(now, call, worker))
+    }
+
+    fn open(&mut self, now: Time, id: CallId, worker: Key) {
+        let until = now + self.policy.ask_time;
+        let Some(link) = self.begin_ask(id, worker, until) else {
+            return;
+        };
+        self.actions.push(Action::Open { link, worker });
+    }
+
+    fn opened(&mut self, now: Time, link: LinkId, result: Result<(), AskFailure>) {
+        let Some(id) = self.links.get(&link).copied() else {
+            return;
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(ask) = call.ask.take_if(|ask| ask.link == link) else {
+            return;
+        };
+        if let Err(failure) = result {
+            self.links.remove(&link);
+            self.passed(now, id, ask.worker, Some(failure), None);
+            self.search(now, id);
+            return;
+        }
+        let call = call.clone();
+        let typical = self.typical(&call).span();
+        let Some(belief) = self.table.get(ask.worker) else {
+            self.drop_link(link);
+            self.search(now, id);
+            return;
+        };
+        let offer = Offer {
+            cold: belief.is_cold(now),
+            expected: belief.expected(now, typical),
+            link,
+            load: belief.load(now).map(|(load, _)| load),
+            worker: ask.worker,
+        };
+        self.send(now, id, offer);
     }
 
     fn asked(&mut self, now: Time, link: LinkId, health: Result<Health, AskFailure>) {
@@ -594,7 +686,7 @@
         }
     }
 
-    fn gone(&mut self, _now: Time, id: CallId) {
+    fn gone(&mut self, id: CallId) {
         if let Some(call) = self.calls.remove(&id) {
             self.abandon(&call, None);
         }
--- a/crates/call/src/event.rs
+++ b/crates/call/src/event.rs
@@ -30,6 +30,8 @@
     Begin(Begin),
     /// The caller went away.
     Gone(CallId),
+    /// A connection is ready, or can't be had.
+    Opened(LinkId, Result<(), AskFailure>),
     /// Time passed.
     Tick,
 }
--- a/crates/call/tests/desk/chaos.rs
+++ b/crates/call/tests/desk/chaos.rs
@@ -1,8 +1,8 @@
 //! Random sequences of events; what must hold in all of them.
 
 use {
-    crate::scene::{Scene, health, route},
-    call::{Action, Answer, AskFailure, CallId, Event, LinkId, Refusal, Told},
+    crate::scene::{Scene, bounds, health, route},
+    call::{Action, Answer, AskFailure, CallId, Event, LinkId, Policy, Refusal, Told},
     fastrand::Rng,
     quickcheck::quickcheck,
     site::Kind,
@@ -14,6 +14,7 @@
 enum Use {
     Asking,
     Held,
+    Opening,
     Sent(CallId),
 }
 
@@ -36,11 +37,17 @@
 
 impl World {
     fn new(seed: u64) -> Self {
+        let mut policy = Policy::new(bounds());
+        policy.bounds.probes = if seed.is_multiple_of(2) {
+            10_000.0
+        } else {
+            10.0
+        };
         Self {
             fates: Map::default(),
             links: Map::default(),
             rng: Rng::with_seed(seed),
-            scene: Scene::new(&["w", "x", "y", "z"]),
+            scene: Scene::with_policy(&["w", "x", "y", "z"], policy),
         }
     }
 
@@ -81,6 +88,20 @@
         self.scene.step(Event::Asked(link, result));
     }
 
+    fn open(&mut self) {
+        let Some(link) = self.link(|state| *state == Use::Opening) else {
+            return;
+        };
+        let result = if self.rng.u32(..4) == 0 {
+            self.links.remove(&link);
+            Err(AskFailure::NoConnection)
+        } else {
+            self.links.insert(link, Use::Held);
+            Ok(())
+        };
+        self.scene.step(Event::Opened(link, result));
+    }
+
     fn answer(&mut self) {
         let Some(link) = self.link(|state| matches!(state, Use::Sent(_))) else {
             return;
@@ -98,7 +119,10 @@
         let Some(Use::Sent(call)) = self.links.remove(&link) else {
             return;
         };
-        if matches!(answer, Answer::Misdirected | Answer::NotRun | Answer::Unsent) {
+        if matches!(
+            answer,
+            Answer::Misdirected | Answer::NotRun | Answer::Unsent
+        ) {
             self.fates.entry(call).or_default().maybe_ran -= 1;
         }
         let told = Told { answer, load: None };
@@ -125,6 +149,9 @@
                 Action::Ask { link, .. } => {
                     assert_eq!(self.links.insert(link, Use::Asking), None);
                 }
+                Action::Open { link, .. } => {
+                    assert_eq!(self.links.insert(link, Use::Opening), None);
+                }
                 Action::Release(link) => assert_eq!(self.links.remove(&link), Some(Use::Held)),
                 Action::Close(link) => {
                     // The connection of an answer that was kept in reserve is free already.
@@ -168,7 +195,10 @@
         for _ in 0..400 {
             match world.rng.u32(..10) {
                 0 | 1 => world.begin(),
-                2..=4 => world.tell(),
+                2..=4 => {
+                    world.tell();
+                    world.open();
+                }
                 5 | 6 => world.answer(),
                 7 => world.leave(),
                 _ => {
--- a/crates/call/tests/desk/cold.rs
+++ b/crates/call/tests/desk/cold.rs
@@ -19,7 +19,9 @@
 fn a_cold_worker_gets_no_more_from_a_daemon_than_its_share() {
     let mut scene = Scene::new(&["x"]);
     let names = (1..13).map(|number| format!("front-b-{number}"));
-    let members: Map<Name, Name> = names.map(|name| (name.as_str().into(), "b".into())).collect();
+    let members: Map<Name, Name> = names
+        .map(|name| (name.as_str().into(), "b".into()))
+        .collect();
     scene.desk.table.set_members(members);
     let route = Arc::new(route("r", Kind::Idempotent));
     let mut sent = 0;
@@ -40,7 +42,9 @@
     let mut scene = Scene::new(&["x", "y"]);
     let route = Arc::new(route("r", Kind::Idempotent));
     let names = (1..40).map(|number| format!("front-b-{number}"));
-    let members: Map<Name, Name> = names.map(|name| (name.as_str().into(), "b".into())).collect();
+    let members: Map<Name, Name> = names
+        .map(|name| (name.as_str().into(), "b".into()))
+        .collect();
     scene.desk.table.set_members(members);
     for _ in 0..10 {
         scene.pass(Span::millis(20));
--- a/crates/call/tests/desk/main.rs
+++ b/crates/call/tests/desk/main.rs
@@ -1,5 +1,11 @@
 //! Requests played through the desk without a network.
 
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "a test fails by panicking"
+)]
+
 mod chaos;
 mod cold;
 mod failures;
--- a/crates/call/tests/desk/overload.rs
+++ b/crates/call/tests/desk/overload.rs
@@ -1,8 +1,8 @@
 //! More load than the workers bear.
 
 use {
-    crate::scene::{Scene, health, route},
-    call::{Action, Refusal},
+    crate::scene::{Scene, bounds, health, route},
+    call::{Action, Answer, Event, Policy, Refusal},
     site::{Config, Kind},
     std::sync::Arc,
     unit::Span,
@@ -54,3 +54,36 @@
     let others = scene.pass_telling(Span::millis(250), &health(4, 2, 100));
     assert!(matches!(others[..], [Action::Refuse(..)]), "{others:?}");
 }
+
+#[test]
+fn more_requests_than_health_requests_are_sent_by_what_is_known() {
+    let mut policy = Policy::new(bounds());
+    policy.bounds.probes = 20.0;
+    let mut scene = Scene::with_policy(&["x", "y"], policy);
+    let route = Arc::new(route("r", Kind::AtMostOnce));
+    let (mut asked, mut opened) = (0, 0);
+    for _ in 0..400 {
+        scene.pass(Span::millis(5));
+        scene.begin(&route);
+        loop {
+            match scene.take() {
+                Action::Ask { link, .. } => {
+                    asked += 1;
+                    scene.told(link, health(0, 0, 100));
+                }
+                Action::Open { link, .. } => {
+                    opened += 1;
+                    scene.step(Event::Opened(link, Ok(())));
+                }
+                Action::Send(_, link, _) => {
+                    scene.answered(link, Answer::Served);
+                    scene.take();
+                    break;
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    assert!(asked <= 2 * (20 * 2 + 40), "{asked}");
+    assert!(opened > 300, "{opened}");
+}
--- a/crates/call/tests/desk/scene.rs
+++ b/crates/call/tests/desk/scene.rs
@@ -1,9 +1,7 @@
 //! A desk with workers that tests let answer as they like.
 
 use {
-    call::{
-        Action, Answer, AskFailure, Begin, CallId, Desk, Event, LinkId, Policy, Refusal, Told,
-    },
+    call::{Action, Answer, AskFailure, Begin, CallId, Desk, Event, LinkId, Policy, Refusal, Told},
     conf::Bounds,
     pick::{Key, Table},
     site::{ColdStart, Config, Health, Kind, Load, Route, Service, State, Target, Worker},
--- a/crates/call/tests/desk/sending.rs
+++ b/crates/call/tests/desk/sending.rs
@@ -83,7 +83,11 @@
         other.id = Some("z".into());
         other
     });
-    assert!(!others.iter().any(|action| matches!(action, Action::Send(..))));
+    assert!(
+        !others
+            .iter()
+            .any(|action| matches!(action, Action::Send(..)))
+    );
 }
 
 #[test]
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -32,6 +32,7 @@
             Action::Ask { link, worker } => self.ask(now, link, worker),
             Action::Close(link) => self.close_link(link),
             Action::Forward(call, link) => self.forward(now, call, link),
+            Action::Open { link, worker } => self.open(now, link, worker),
             Action::Refuse(call, refusal) => self.refuse(now, call, refusal),
             Action::Release(link) => self.release_link(now, link),
             Action::Send(call, link, left) => self.send(now, call, link, left),
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -14,6 +14,9 @@
     wire::{Ending, Limits, Response, ResponseReader},
 };
 
+/// How long ago bytes may have gone over a connection that is used without a question first.
+const SURELY_ALIVE: Span = Span::secs(1);
+
 /// The connections to one worker.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
@@ -77,6 +80,32 @@
         self.start_ask(now, place, link);
     }
 
+    /// Has a connection ready: a free one that was used just now, or a new one.
+    pub(crate) fn open(&mut self, now: Time, link: LinkId, worker: Key) {
+        let free = self.pools.get_mut(&worker).and_then(|pool| pool.idle.pop());
+        let fresh = free.filter(|place| {
+            let conn = self.conns.get(*place);
+            conn.is_some_and(|conn| conn.channel.idle(now) < SURELY_ALIVE)
+        });
+        if let Some(place) = free
+            && fresh.is_none()
+        {
+            self.drop_worker(place);
+        }
+        let place = fresh.or_else(|| self.open_worker(now, worker));
+        let result = match place {
+            Some(place) => {
+                if let Some(conn) = self.worker(place) {
+                    conn.phase = Phase::Held(link);
+                }
+                self.links.insert(link, Link::Conn(place));
+                Ok(())
+            }
+            None => Err(AskFailure::NoConnection),
+        };
+        self.desk_events.push_back(Event::Opened(link, result));
+    }
+
     /// Sends a request on the connection on which its worker was asked.
     pub(crate) fn send(&mut self, now: Time, call: CallId, link: LinkId, left: Span) {
         if self.try_send(now, call, link, left).is_none() {
@@ -465,9 +494,7 @@
         Answer::Misdirected
     } else if head.not_run {
         Answer::NotRun
-    } else if head.encoded {
-        Answer::Spoiled
-    } else if response.status / 100 == 2 && !head.signed {
+    } else if head.encoded || (response.status / 100 == 2 && !head.signed) {
         Answer::Spoiled
     } else if response.status >= 500 {
         Answer::Failed
--- a/crates/limit/tests/shares.rs
+++ b/crates/limit/tests/shares.rs
@@ -1,5 +1,11 @@
 //! Shares of the fleet's limits: the sum over all daemons holds in any window.
 
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "a test fails by panicking"
+)]
+
 use {
     limit::{ColdShare, Peers, ProbeShare, RetryShare, Window},
     quickcheck::quickcheck,
@@ -14,7 +20,12 @@
 fn most_in(times: &[u64], millis: u64) -> usize {
     let mut times = times.to_vec();
     times.sort_unstable();
-    let within = |start: &u64| times.iter().filter(|at| (*start..start + millis).contains(at)).count();
+    let within = |start: &u64| {
+        times
+            .iter()
+            .filter(|at| (*start..start + millis).contains(at))
+            .count()
+    };
     times.iter().map(within).max().unwrap_or_default()
 }
 
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -1,5 +1,11 @@
 //! The order in which workers are asked, and what is believed of them.
 
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "a test fails by panicking"
+)]
+
 use {
     fastrand::Rng,
     pick::{Key, Outcome, Standing, Table, Typical, Wanted},
@@ -79,7 +85,10 @@
         .map(|(id, centre)| table.enter(worker(id, centre), at(0)));
     use_once(&mut table, &keys);
     table.strike(keys[2], at(0));
-    assert_eq!(order(&table, at(1)), ["near".into(), "far".into(), Name::from("ill")]);
+    assert_eq!(
+        order(&table, at(1)),
+        ["near".into(), "far".into(), Name::from("ill")]
+    );
 }
 
 #[test]
@@ -110,7 +119,10 @@
 
 #[test]
 fn a_worker_whose_entry_lapsed_is_used_for_longer_than_one_that_left() {
-    for (departure, later) in [(Departure::Left, Standing::Barred), (Departure::Lapsed, Standing::Leaving)] {
+    for (departure, later) in [
+        (Departure::Left, Standing::Barred),
+        (Departure::Lapsed, Standing::Leaving),
+    ] {
         let mut table = table();
         let key = table.enter(worker("x", "a"), at(0));
         table.leave("x", departure, at(0));
@@ -175,7 +187,12 @@
     let key = table.enter(worker("x", "a"), at(0));
     for _ in 0..8 {
         table.sent(key, at(0));
-        table.ended(key, at(0), Outcome::Served(Span::millis(600)), Span::millis(60));
+        table.ended(
+            key,
+            at(0),
+            Outcome::Served(Span::millis(600)),
+            Span::millis(60),
+        );
     }
     let slowness = |now| table.get(key).map_or(0.0, |belief| belief.slowness(now));
     assert!(slowness(at(0)) > 5.0);
--- a/crates/site/tests/view.rs
+++ b/crates/site/tests/view.rs
@@ -1,5 +1,11 @@
 //! How a daemon's view of the site takes in changes.
 
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "a test fails by panicking"
+)]
+
 use {
     site::{
         Change, Config, Departure, Edition, Effect, Item, Rev, Revs, State, Topic, View, Worker,
@@ -54,7 +60,12 @@
 }
 
 fn entered(rev: u64, worker: Worker) -> Change {
-    change(Topic::Workers, false, rev, vec![(rev, Item::Worker(worker))])
+    change(
+        Topic::Workers,
+        false,
+        rev,
+        vec![(rev, Item::Worker(worker))],
+    )
 }
 
 fn left(rev: u64, id: &str, departure: Departure) -> Change {
@@ -95,9 +106,18 @@
     let mut view = View::default();
     view.apply(entered(1, worker("x", 10, 5, State::Draining)), NOW);
     let stale = [Effect::WorkerStale("x".into())];
-    assert_eq!(view.apply(entered(2, worker("x", 10, 6, State::Ready)), NOW), stale);
-    assert_eq!(view.apply(entered(3, worker("x", 10, 4, State::Draining)), NOW), stale);
-    assert_eq!(view.apply(entered(4, worker("x", 9, 99, State::Ready)), NOW), stale);
+    assert_eq!(
+        view.apply(entered(2, worker("x", 10, 6, State::Ready)), NOW),
+        stale
+    );
+    assert_eq!(
+        view.apply(entered(3, worker("x", 10, 4, State::Draining)), NOW),
+        stale
+    );
+    assert_eq!(
+        view.apply(entered(4, worker("x", 9, 99, State::Ready)), NOW),
+        stale
+    );
     let reborn = worker("x", 11, 1, State::Ready);
     let effects = view.apply(entered(5, reborn.clone()), NOW);
     assert_eq!(effects, [Effect::Worker(reborn)]);
@@ -125,16 +145,39 @@
 #[test]
 fn a_centre_is_evacuated_until_it_is_taken_back() {
     let mut view = View::default();
-    let out = |rev| change(Topic::Evacuations, false, rev, vec![(rev, Item::Evacuated("a".into()))]);
-    let back = |rev| change(Topic::Evacuations, false, rev, vec![(rev, Item::Returned("a".into()))]);
-    assert_eq!(view.apply(out(3), NOW), [Effect::Evacuated("a".into(), true)]);
+    let out = |rev| {
+        change(
+            Topic::Evacuations,
+            false,
+            rev,
+            vec![(rev, Item::Evacuated("a".into()))],
+        )
+    };
+    let back = |rev| {
+        change(
+            Topic::Evacuations,
+            false,
+            rev,
+            vec![(rev, Item::Returned("a".into()))],
+        )
+    };
+    assert_eq!(
+        view.apply(out(3), NOW),
+        [Effect::Evacuated("a".into(), true)]
+    );
     assert!(view.apply(back(2), NOW).is_empty());
     assert!(view.evacuated("a"));
-    assert_eq!(view.apply(back(4), NOW), [Effect::Evacuated("a".into(), false)]);
+    assert_eq!(
+        view.apply(back(4), NOW),
+        [Effect::Evacuated("a".into(), false)]
+    );
     assert!(view.apply(out(3), NOW).is_empty());
     view.apply(out(5), NOW);
     let none = change(Topic::Evacuations, true, 8, Vec::new());
-    assert_eq!(view.apply(none, NOW), [Effect::Evacuated("a".into(), false)]);
+    assert_eq!(
+        view.apply(none, NOW),
+        [Effect::Evacuated("a".into(), false)]
+    );
 }
 
 #[test]
--- /dev/null
+++ b/crates/standin/src/bin/load.rs
@@ -0,0 +1,58 @@
+//! Plays open-loop load on a fleet of real daemons and tells what callers got.
+
+use {
+    clap::Parser,
+    standin::{Fleet, Load, Plan, StandinError},
+    std::{path::PathBuf, process::ExitCode, time::Duration},
+    unit::Span,
+};
+
+/// Plays open-loop load on a fleet of real daemons and tells what callers got.
+#[derive(Debug, Parser)]
+#[command(name = "load", version)]
+struct Arguments {
+    /// The daemon's program.
+    #[arg(long, default_value = "target/release/anvilferryd")]
+    program: PathBuf,
+
+    /// Requests a second.
+    #[arg(long, default_value_t = 200.0)]
+    rate: f64,
+
+    /// How long the load lasts.
+    #[arg(long, default_value_t = 10, value_name = "SECONDS")]
+    seconds: u64,
+
+    /// How long a worker takes for a request.
+    #[arg(long, default_value_t = 20, value_name = "MILLISECONDS")]
+    work: u64,
+
+    /// The part of the requests that may run at most once.
+    #[arg(long, default_value_t = 0.3)]
+    writes: f64,
+}
+
+fn main() -> ExitCode {
+    match run(&Arguments::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("load: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<(), StandinError> {
+    let mut plan = Plan::new(&arguments.program);
+    plan.work = Duration::from_millis(arguments.work);
+    let fleet = Fleet::start(&plan)?;
+    let load = Load {
+        deadline: Span::secs(1),
+        span: Duration::from_secs(arguments.seconds),
+        rate: arguments.rate,
+        writes: arguments.writes,
+    };
+    let daemons: Vec<usize> = (0..fleet.size()).collect();
+    print!("{}", load.play(&fleet, &daemons).text());
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,164 @@
+//! A caller: asks the directory, connects, and sends requests.
+
+use {
+    crate::{outcome::Outcome, sites::HOST},
+    platform::{
+        decode_addresses,
+        mirror::{client_request, is_promise, retry_after},
+        read_answer, resolve_request,
+    },
+    std::{
+        io::{self, ErrorKind, Read, Write},
+        net::{SocketAddr, SocketAddrV4, TcpStream},
+        time::{Duration, Instant},
+    },
+    unit::Span,
+    wire::{Ending, Limits, Request, Response, ResponseReader},
+};
+
+const CONNECT: Duration = Duration::from_secs(1);
+const CHUNK: usize = 16 << 10;
+
+/// What came of one request.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// When the caller may come back, where it was told.
+    pub again: Option<Span>,
+    /// The request's id.
+    pub id: String,
+    /// What is known of it.
+    pub outcome: Outcome,
+    /// The answer's status, where there was one.
+    pub status: Option<u16>,
+    /// How long it took.
+    pub took: Duration,
+}
+
+/// A caller in a data centre.
+#[derive(Debug)]
+pub struct Caller {
+    /// A connection that is kept, and its daemon.
+    conn: Option<(SocketAddrV4, TcpStream)>,
+    /// How long it waits for an answer.
+    pub deadline: Span,
+    /// Its name, by which its requests are told from others'.
+    name: String,
+    sent: u64,
+}
+
+impl Caller {
+    /// A caller that waits at most `deadline` for an answer.
+    pub fn new(name: &str, deadline: Span) -> Self {
+        Self {
+            conn: None,
+            deadline,
+            name: name.to_owned(),
+            sent: 0,
+        }
+    }
+
+    /// Asks a directory which addresses to use.
+    ///
+    /// # Errors
+    /// Fails where the directory can't be reached or doesn't answer as it should.
+    pub fn resolve(directory: SocketAddrV4, centre: &str) -> io::Result<Vec<SocketAddrV4>> {
+        let mut conn = TcpStream::connect_timeout(&SocketAddr::V4(directory), CONNECT)?;
+        let request = resolve_request(HOST, "region", centre);
+        let response = exchange(&mut conn, &request, Instant::now() + CONNECT)?;
+        let (addresses, _) = decode_addresses(&response).map_err(io::Error::other)?;
+        Ok(addresses)
+    }
+
+    /// Sends a request to a daemon, on the connection that is kept where there is one.
+    pub fn send(&mut self, daemon: SocketAddrV4, method: &str, path: &str) -> Attempt {
+        self.sent += 1;
+        let id = format!("{}-{}", self.name, self.sent);
+        let body = if method == "POST" {
+            b"body".to_vec()
+        } else {
+            Vec::new()
+        };
+        let request = client_request(method, path, HOST, &id, self.deadline, body);
+        let began = Instant::now();
+        let result = self.exchange(daemon, &request, began);
+        let took = began.elapsed();
+        match result {
+            Ok(response) => judge(&response, id, took),
+            Err(_) => Attempt {
+                again: None,
+                id,
+                outcome: Outcome::Unanswered,
+                status: None,
+                took,
+            },
+        }
+    }
+
+    /// Closes the connection that is kept.
+    pub fn hang_up(&mut self) {
+        self.conn = None;
+    }
+
+    fn exchange(
+        &mut self,
+        daemon: SocketAddrV4,
+        request: &Request,
+        began: Instant,
+    ) -> io::Result<Response> {
+        let end = began + Duration::from(self.deadline) + Duration::from_millis(500);
+        let mut conn = match self.conn.take() {
+            Some((address, conn)) if address == daemon => conn,
+            _ => TcpStream::connect_timeout(&SocketAddr::V4(daemon), CONNECT)?,
+        };
+        let response = exchange(&mut conn, request, end)?;
+        if !response.last {
+            self.conn = Some((daemon, conn));
+        }
+        Ok(response)
+    }
+}
+
+fn judge(response: &Response, id: String, took: Duration) -> Attempt {
+    let head = read_answer(response);
+    let whole = head.signed && head.id.as_deref() == Some(&id);
+    let outcome = match response.status {
+        200 if whole => Outcome::Served,
+        200 => Outcome::Mixed,
+        _ if head.id.as_deref() != Some(&id) => Outcome::Mixed,
+        _ if is_promise(response) => Outcome::NotRun,
+        _ => Outcome::Failed,
+    };
+    Attempt {
+        again: retry_after(response),
+        id,
+        outcome,
+        status: Some(response.status),
+        took,
+    }
+}
+
+fn exchange(conn: &mut TcpStream, request: &Request, end: Instant) -> io::Result<Response> {
+    conn.set_nodelay(true)?;
+    let mut out = Vec::new();
+    request.encode(&mut out);
+    conn.write_all(&out)?;
+    let mut reader = ResponseReader::new(Limits::default());
+    let mut chunk = vec![0; CHUNK];
+    loop {
+        if let Some(response) = reader.take(false).map_err(io::Error::other)? {
+            return Ok(response);
+        }
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        conn.set_read_timeout(Some(left))?;
+        match conn.read(&mut chunk)? {
+            0 => {
+                let whole = reader.finish(Ending::Closed).map_err(io::Error::other)?;
+                return whole.ok_or_else(|| ErrorKind::UnexpectedEof.into());
+            }
+            size => reader.push(&chunk[..size]),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,329 @@
+//! Real daemons on loopback addresses, between a store and workers of this process.
+
+use {
+    crate::{
+        caller::{Attempt, Caller},
+        error::StandinError,
+        ledger::Ledger,
+        process::Process,
+        sites::{SERVICE, config},
+        store::Store,
+        upstream::Upstream,
+    },
+    conf::{Bounds, Listen, Settings},
+    nix::sys::signal::Signal,
+    platform::{SETTINGS_VARIABLE, mirror::encode_settings},
+    std::{
+        fs,
+        io::{self, Read, Write},
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
+        path::{Path, PathBuf},
+        sync::atomic::{AtomicU32, Ordering},
+        time::{Duration, Instant},
+    },
+    unit::{Name, Span},
+};
+
+const CALLERS: u16 = 0;
+const READY: u16 = 1;
+const DIRECTORY: u16 = 2;
+const OPERATORS: u16 = 3;
+const PEERS: u16 = 4;
+/// Ports that a fleet needs in a row, the same on each of its addresses.
+const PORTS: u16 = 5;
+const CONNECT: Duration = Duration::from_millis(500);
+const LOOK: Duration = Duration::from_millis(20);
+/// How long a fleet may take to become ready.
+const START: Duration = Duration::from_secs(20);
+
+/// Counts the fleets of this process, so that each has addresses of its own.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The data centre of each daemon.
+    pub daemons: Vec<&'static str>,
+    /// The program.
+    pub program: PathBuf,
+    /// How long the workers' requests take.
+    pub work: Duration,
+    /// The data centre of each worker.
+    pub workers: Vec<&'static str>,
+}
+
+impl Plan {
+    /// Two daemons and two workers in each of two data centres.
+    pub fn new(program: &Path) -> Self {
+        Self {
+            daemons: vec!["a", "a", "b", "b"],
+            program: program.to_owned(),
+            work: Duration::from_millis(20),
+            workers: vec!["a", "a", "b", "b"],
+        }
+    }
+}
+
+struct Daemon {
+    log: PathBuf,
+    process: Option<Process>,
+    settings: Settings,
+    settings_file: PathBuf,
+}
+
+/// A fleet under test.
+pub struct Fleet {
+    daemons: Vec<Daemon>,
+    folder: PathBuf,
+    /// What the workers ran.
+    pub ledger: Ledger,
+    program: PathBuf,
+    /// The platform's store.
+    pub store: Store,
+    /// The workers.
+    pub workers: Vec<Upstream>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until all its daemons are ready.
+    ///
+    /// # Errors
+    /// Fails where something can't be started or isn't ready in time.
+    pub fn start(plan: &Plan) -> Result<Self, StandinError> {
+        let store = Store::start()?;
+        let ledger = Ledger::default();
+        store.put_config(&config(1));
+        let mut workers = Vec::new();
+        for (at, centre) in plan.workers.iter().enumerate() {
+            let id = format!("w-{at}");
+            let worker = Upstream::start(&id, SERVICE, centre, plan.work, &ledger)?;
+            store.put_worker(&worker.entry);
+            workers.push(worker);
+        }
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("fleet-{}-{number}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let mut fleet = Self {
+            daemons: Vec::new(),
+            folder,
+            ledger,
+            program: plan.program.clone(),
+            store,
+            workers,
+        };
+        fleet.add_daemons(plan, number)?;
+        for at in 0..fleet.daemons.len() {
+            fleet.launch(at)?;
+        }
+        for at in 0..fleet.daemons.len() {
+            fleet.wait_ready(at)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Where callers reach a daemon.
+    pub fn address(&self, at: usize) -> SocketAddrV4 {
+        self.daemons[at].settings.listen.callers
+    }
+
+    /// Where callers ask a daemon for addresses.
+    pub fn directory(&self, at: usize) -> SocketAddrV4 {
+        self.daemons[at].settings.listen.directory
+    }
+
+    /// The number of daemons.
+    pub fn size(&self) -> usize {
+        self.daemons.len()
+    }
+
+    /// Starts a daemon that isn't running.
+    ///
+    /// # Errors
+    /// Fails where it can't be started.
+    pub fn launch(&mut self, at: usize) -> Result<(), StandinError> {
+        let daemon = &mut self.daemons[at];
+        let variable = (SETTINGS_VARIABLE, daemon.settings_file.as_path());
+        daemon.process = Some(Process::start(&self.program, variable, &daemon.log)?);
+        Ok(())
+    }
+
+    /// Kills a daemon.
+    pub fn kill(&mut self, at: usize) {
+        self.daemons[at].process = None;
+    }
+
+    /// Sends a daemon a signal.
+    ///
+    /// # Errors
+    /// Fails where it isn't running.
+    pub fn signal(&self, at: usize, signal: Signal) -> Result<(), StandinError> {
+        match &self.daemons[at].process {
+            Some(process) => process.signal(signal),
+            None => Err(StandinError::Late(format!("daemon {at} isn't running"))),
+        }
+    }
+
+    /// Waits until a daemon that was told to stop has ended; tells whether it ended well.
+    ///
+    /// # Errors
+    /// Fails where it goes on.
+    pub fn wait_stopped(&mut self, at: usize, span: Duration) -> Result<bool, StandinError> {
+        let Some(process) = &mut self.daemons[at].process else {
+            return Ok(true);
+        };
+        let status = process.wait(span)?;
+        let status = status.ok_or_else(|| StandinError::Late(format!("daemon {at} goes on")))?;
+        self.daemons[at].process = None;
+        Ok(status.success())
+    }
+
+    /// Waits until a daemon is ready.
+    ///
+    /// # Errors
+    /// Fails where it isn't in time.
+    pub fn wait_ready(&self, at: usize) -> Result<(), StandinError> {
+        let ready = self.daemons[at].settings.listen.ready;
+        wait_until(&format!("daemon {at} is ready"), START, || {
+            get(ready, "/v1/ready").is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
+        })
+    }
+
+    /// Reads a page of a daemon's operators' address.
+    ///
+    /// # Errors
+    /// Fails where the daemon can't be reached.
+    pub fn operators_page(&self, at: usize, path: &str) -> Result<String, StandinError> {
+        let listen = &self.daemons[at].settings.listen;
+        let address = listen.operators.unwrap_or(listen.ready);
+        let text = get(address, path)?;
+        let body = text.split_once("\r\n\r\n").map(|(_, body)| body.to_owned());
+        Ok(body.unwrap_or(text))
+    }
+
+    /// What a daemon has logged.
+    ///
+    /// # Errors
+    /// Fails where its log can't be read.
+    pub fn log(&self, at: usize) -> Result<String, StandinError> {
+        Ok(fs::read_to_string(&self.daemons[at].log)?)
+    }
+
+    /// Sends a request of `caller` to a daemon.
+    pub fn ask(&self, caller: &mut Caller, at: usize, method: &str, path: &str) -> Attempt {
+        caller.send(self.address(at), method, path)
+    }
+
+    fn add_daemons(&mut self, plan: &Plan, number: u32) -> Result<(), StandinError> {
+        let ip = |at: usize| {
+            // Addresses of the loopback network that no other fleet of this process uses.
+            let [high, low] = [number as u8, at as u8 + 10];
+            Ipv4Addr::new(127, 16 + (std::process::id() % 200) as u8, high, low)
+        };
+        let base = free_ports(ip(0))?;
+        for (at, centre) in plan.daemons.iter().enumerate() {
+            let name = format!("front-{centre}-{at}");
+            let settings = settings(&name, centre, ip(at), base, self.store.address, ip(0));
+            let settings_file = self.folder.join(format!("{name}.toml"));
+            let text = encode_settings(&settings).map_err(io::Error::other)?;
+            fs::write(&settings_file, text)?;
+            self.daemons.push(Daemon {
+                log: self.folder.join(format!("{name}.log")),
+                process: None,
+                settings,
+                settings_file,
+            });
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        // A folder that can't be removed is left to the system.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until something holds.
+///
+/// # Errors
+/// Fails where it doesn't in time.
+pub(crate) fn wait_until(
+    what: &str,
+    span: Duration,
+    mut holds: impl FnMut() -> bool,
+) -> Result<(), StandinError> {
+    let end = Instant::now() + span;
+    while !holds() {
+        if Instant::now() >= end {
+            return Err(StandinError::Late(format!("waited in vain until {what}")));
+        }
+        std::thread::sleep(LOOK);
+    }
+    Ok(())
+}
+
+fn get(address: SocketAddrV4, path: &str) -> io::Result<String> {
+    let mut conn = TcpStream::connect_timeout(&SocketAddr::V4(address), CONNECT)?;
+    conn.set_read_timeout(Some(CONNECT))?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    conn.write_all(request.as_bytes())?;
+    let mut text = String::new();
+    conn.read_to_string(&mut text)?;
+    Ok(text)
+}
+
+/// The first of some ports in a row that are free on an address.
+fn free_ports(ip: Ipv4Addr) -> io::Result<u16> {
+    const TRIES: u32 = 100;
+    for _ in 0..TRIES {
+        let base = fastrand::u16(20_000..30_000);
+        let free = (base..base + PORTS).all(|port| TcpListener::bind((ip, port)).is_ok());
+        if free {
+            return Ok(base);
+        }
+    }
+    Err(io::Error::other("no ports are free"))
+}
+
+fn settings(
+    name: &str,
+    centre: &str,
+    ip: Ipv4Addr,
+    base: u16,
+    store: SocketAddrV4,
+    seed: Ipv4Addr,
+) -> Settings {
+    let address = |port| SocketAddrV4::new(ip, base + port);
+    let name: Name = name.into();
+    Settings {
+        bounds: Bounds {
+            cold_factor: 1.5,
+            cold_slack: 5.0,
+            drain: Span::secs(2),
+            grace: Span::secs(6),
+            keep: Span::secs(5),
+            probes: 60.0,
+            retry_extra: 56.0,
+            retry_ratio: 0.2,
+            retry_window: Span::secs(10),
+            stable: Span::secs(3),
+        },
+        centre: centre.into(),
+        descriptors: 4_100,
+        ip,
+        listen: Listen {
+            callers: address(CALLERS),
+            directory: address(DIRECTORY),
+            operators: Some(address(OPERATORS)),
+            ready: address(READY),
+        },
+        memory: 260 << 20,
+        name,
+        peer_ports: (base + PEERS, base + PEERS),
+        region: "region".into(),
+        seeds: vec![seed],
+        store,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,28 @@
+//! Stand-ins for what surrounds a fleet: the platform's store, workers and callers, and a harness
+//! that runs real daemons on loopback addresses between them. Outside tests, `load` and `demo` use
+//! it.
+
+mod caller;
+mod error;
+mod fleet;
+mod ledger;
+mod load;
+mod outcome;
+mod process;
+mod server;
+mod sites;
+mod store;
+mod upstream;
+
+pub use {
+    caller::{Attempt, Caller},
+    error::StandinError,
+    fleet::{Fleet, Plan},
+    ledger::{Ledger, Run},
+    load::{Load, Report},
+    outcome::Outcome,
+    process::Process,
+    sites::{READS, SERVICE, WRITES, config},
+    store::{Mood, Store},
+    upstream::{Fault, Upstream},
+};
--- /dev/null
+++ b/crates/standin/src/sites.rs
@@ -0,0 +1,53 @@
+use {
+    site::{ClientLimits, ColdStart, Config, Kind, Route, Service, Target},
+    std::sync::Arc,
+    unit::Span,
+};
+
+/// The service of the stand-ins' sites.
+pub const SERVICE: &str = "gallery";
+/// The path below which requests may run more than once.
+pub const READS: &str = "/pictures/";
+/// The path below which requests may run at most once.
+pub const WRITES: &str = "/payouts/";
+/// The host of the stand-ins' sites.
+pub(crate) const HOST: &str = "gallery.example";
+pub(crate) const HEALTH: &str = "/healthz";
+
+/// A configuration with one service, one route for reads and one for writes.
+pub fn config(version: u64) -> Config {
+    let service = Service {
+        cold: ColdStart {
+            rate: 14.0,
+            span: Span::secs(3),
+        },
+        conns: 220,
+        health: HEALTH.into(),
+        name: SERVICE.into(),
+    };
+    let mut config = Config {
+        limits: ClientLimits::default(),
+        version,
+        ..Config::default()
+    };
+    config.services.insert(SERVICE.into(), Arc::new(service));
+    config.add(HOST, route("reads", READS, Kind::Idempotent, 2));
+    config.add(HOST, route("writes", WRITES, Kind::AtMostOnce, 1));
+    config
+}
+
+fn route(name: &str, prefix: &str, kind: Kind, priority: u32) -> Route {
+    Route {
+        attempts: 2,
+        kind,
+        name: name.into(),
+        objective: Span::millis(200),
+        prefix: prefix.into(),
+        priority,
+        targets: vec![Target {
+            service: SERVICE.into(),
+            weight: 1,
+        }],
+        timeout: Span::millis(1_000),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/upstream.rs
@@ -0,0 +1,325 @@
+//! A worker.
+
+use {
+    crate::{
+        ledger::{Ledger, Run},
+        server::{Reaction, Server},
+    },
+    platform::mirror::{health_answer, misdirected_answer, not_run_answer, read_forwarded, sign},
+    site::{Health, Load, State, Worker},
+    std::{
+        io::{self, ErrorKind},
+        net::{Ipv4Addr, SocketAddrV4, TcpStream},
+        sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+        thread,
+        time::{Duration, Instant},
+    },
+    unit::{Name, Span},
+    wire::{Request, Response},
+};
+
+/// Requests that wait for a slot at most.
+const QUEUE: u32 = 8;
+/// How often a worker looks whether its caller went away.
+const LOOK: Duration = Duration::from_millis(5);
+const USUAL: u32 = 100;
+
+/// What is wrong with a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It answers with errors of its own.
+    Errors,
+    /// It sends an answer that was asked for earlier before each answer.
+    Extra,
+    /// It runs requests and never answers.
+    Mute,
+    /// Nothing.
+    #[default]
+    None,
+    /// It ends the connection in place of an answer to a request that it ran.
+    Resets,
+    /// It takes this many times as long, and doesn't say so.
+    Slow(u32),
+    /// It cuts its answers short.
+    Truncates,
+}
+
+#[derive(Debug)]
+struct Desk {
+    cold: Option<Instant>,
+    fault: Fault,
+    healthy: bool,
+    last: Option<String>,
+    pace: u32,
+    running: u32,
+    waiting: u32,
+}
+
+struct Shared {
+    desk: Mutex<Desk>,
+    free: Condvar,
+    id: Name,
+    ledger: Ledger,
+    slots: u32,
+    work: Duration,
+}
+
+/// A worker in this process; it ends when it is dropped.
+pub struct Upstream {
+    /// Its entry in the store.
+    pub entry: Worker,
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl Upstream {
+    /// Starts a worker of `service` in `centre` whose requests take `work`.
+    ///
+    /// # Errors
+    /// Fails where no port can be had.
+    pub fn start(
+        id: &str,
+        service: &str,
+        centre: &str,
+        work: Duration,
+        ledger: &Ledger,
+    ) -> io::Result<Self> {
+        let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        Self::start_at(address, id, service, centre, work, ledger)
+    }
+
+    /// Starts a worker at an address, which may have been another's.
+    ///
+    /// # Errors
+    /// Fails where the address can't be had.
+    pub fn start_at(
+        address: SocketAddrV4,
+        id: &str,
+        service: &str,
+        centre: &str,
+        work: Duration,
+        ledger: &Ledger,
+    ) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            desk: Mutex::new(Desk {
+                cold: None,
+                fault: Fault::None,
+                healthy: true,
+                last: None,
+                pace: USUAL,
+                running: 0,
+                waiting: 0,
+            }),
+            free: Condvar::new(),
+            id: id.into(),
+            ledger: ledger.clone(),
+            slots: 4,
+            work,
+        });
+        let own = Arc::clone(&shared);
+        let handler = move |request: &Request, conn: &TcpStream| own.react(request, conn);
+        let server = Server::start(address, Arc::new(handler))?;
+        Ok(Self {
+            entry: Worker {
+                address: server.address,
+                beats: 1,
+                born: 1,
+                centre: centre.into(),
+                cold: Span::ZERO,
+                id: id.into(),
+                service: service.into(),
+                slots: shared.slots,
+                state: State::Ready,
+            },
+            server,
+            shared,
+        })
+    }
+
+    /// Makes something go wrong, or right again.
+    pub fn set_fault(&self, fault: Fault) {
+        self.shared.lock().fault = fault;
+    }
+
+    /// Makes the machine slower, in percent of the usual time, and says so.
+    pub fn set_pace(&self, pace: u32) {
+        self.shared.lock().pace = pace;
+    }
+
+    /// Makes the worker cold for a while.
+    pub fn chill(&self, span: Duration) {
+        self.shared.lock().cold = Some(Instant::now() + span);
+    }
+
+    /// Makes the health endpoint call the worker well or ill.
+    pub fn set_healthy(&self, healthy: bool) {
+        self.shared.lock().healthy = healthy;
+    }
+
+    /// Ends all connections.
+    pub fn cut(&self) {
+        self.server.cut();
+    }
+
+    /// Its entry as it leaves.
+    pub fn draining(&self) -> Worker {
+        Worker {
+            beats: self.entry.beats + 1,
+            state: State::Draining,
+            ..self.entry.clone()
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn react(&self, request: &Request, conn: &TcpStream) -> Reaction {
+        if request.path() == crate::sites::HEALTH {
+            return Reaction::Answer(health_answer(&self.health()));
+        }
+        let head = read_forwarded(request);
+        if head.expect.is_some_and(|expect| *expect != *self.id) {
+            return Reaction::Answer(misdirected_answer(&self.id));
+        }
+        let Some(id) = head.id else {
+            return Reaction::Answer(Response::new(400));
+        };
+        let end = Instant::now() + Duration::from(head.left);
+        if !self.take_slot(end) {
+            return Reaction::Answer(not_run_answer());
+        }
+        let at = self.ledger.begin(Run {
+            at: Instant::now(),
+            cold: self.is_cold(),
+            finished: false,
+            request: id.clone(),
+            worker: self.id.clone(),
+        });
+        let finished = self.work(conn, end);
+        let (fault, last) = {
+            let mut desk = self.lock();
+            desk.running -= 1;
+            (desk.fault, desk.last.replace(id.clone()))
+        };
+        self.free.notify_one();
+        if !finished {
+            return Reaction::Close;
+        }
+        self.ledger.finish(at);
+        self.answer(request, &id, fault, last)
+    }
+
+    fn health(&self) -> Health {
+        let desk = self.lock();
+        let cold = desk
+            .cold
+            .map(|at| at.saturating_duration_since(Instant::now()));
+        Health {
+            cold: cold.unwrap_or_default().into(),
+            healthy: desk.healthy,
+            id: Some(self.id.clone()),
+            load: Some(self.load(&desk)),
+        }
+    }
+
+    fn is_cold(&self) -> bool {
+        self.lock().cold.is_some_and(|at| at > Instant::now())
+    }
+
+    fn load(&self, desk: &Desk) -> Load {
+        Load {
+            pace: desk.pace,
+            running: desk.running,
+            slots: self.slots,
+            waiting: desk.waiting,
+        }
+    }
+
+    /// Waits for a slot; false where there is no room or no time.
+    fn take_slot(&self, end: Instant) -> bool {
+        let mut desk = self.lock();
+        if desk.waiting >= QUEUE {
+            return false;
+        }
+        desk.waiting += 1;
+        while desk.running >= self.slots {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                desk.waiting -= 1;
+                return false;
+            }
+            let waited = self.free.wait_timeout(desk, left);
+            desk = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        desk.waiting -= 1;
+        desk.running += 1;
+        true
+    }
+
+    /// Works until done; false where the caller went away or the time ran out.
+    fn work(&self, conn: &TcpStream, end: Instant) -> bool {
+        let (pace, fault) = {
+            let desk = self.lock();
+            (desk.pace, desk.fault)
+        };
+        let factor = if let Fault::Slow(factor) = fault {
+            factor
+        } else {
+            1
+        };
+        let done = Instant::now() + self.work * pace / USUAL * factor;
+        loop {
+            let now = Instant::now();
+            if now >= done {
+                return true;
+            }
+            if now >= end || gone(conn) {
+                return false;
+            }
+            thread::sleep(LOOK.min(done - now));
+        }
+    }
+
+    fn answer(&self, request: &Request, id: &str, fault: Fault, last: Option<String>) -> Reaction {
+        let load = self.load(&self.lock());
+        let mut response = Response::new(if fault == Fault::Errors { 500 } else { 200 });
+        response.body = format!("{} {}", self.id, request.target).into_bytes();
+        sign(&mut response, id, load);
+        match fault {
+            Fault::Errors | Fault::None | Fault::Slow(_) => Reaction::Answer(response),
+            Fault::Extra => {
+                let mut late = Response::new(200);
+                late.body = b"late".to_vec();
+                sign(&mut late, &last.unwrap_or_else(|| "none".to_owned()), load);
+                let mut bytes = Vec::new();
+                late.encode(&mut bytes, false);
+                response.encode(&mut bytes, false);
+                Reaction::Bytes(bytes)
+            }
+            Fault::Mute => Reaction::Silence,
+            Fault::Resets => Reaction::Close,
+            Fault::Truncates => {
+                let mut bytes = Vec::new();
+                response.encode(&mut bytes, false);
+                bytes.pop();
+                Reaction::Bytes(bytes)
+            }
+        }
+    }
+}
+
+/// Whether the other end has closed the connection.
+fn gone(conn: &TcpStream) -> bool {
+    if conn.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let peeked = conn.peek(&mut [0]);
+    let blocking = conn.set_nonblocking(false);
+    match peeked {
+        Ok(size) => size == 0 || blocking.is_err(),
+        Err(error) => error.kind() != ErrorKind::WouldBlock || blocking.is_err(),
+    }
+}
--- a/crates/wire/tests/requests.rs
+++ b/crates/wire/tests/requests.rs
@@ -1,9 +1,18 @@
 //! Requests read from the bytes of a connection.
 
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "a test fails by panicking"
+)]
+
 use wire::{Limits, Request, RequestReader, WireError};
 
 fn reader() -> RequestReader {
-    RequestReader::new(Limits { body: 64, head: 512 })
+    RequestReader::new(Limits {
+        body: 64,
+        head: 512,
+    })
 }
 
 fn read(bytes: &[u8]) -> Result<Option<Request>, WireError> {
--- a/crates/wire/tests/responses.rs
+++ b/crates/wire/tests/responses.rs
@@ -1,18 +1,26 @@
 //! Responses read from the bytes of a connection.
 
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "a test fails by panicking"
+)]
+
 use wire::{Ending, Limits, Response, ResponseReader, WireError};
 
 fn reader(bytes: &[u8]) -> ResponseReader {
-    let mut reader = ResponseReader::new(Limits { body: 64, head: 512 });
+    let mut reader = ResponseReader::new(Limits {
+        body: 64,
+        head: 512,
+    });
     reader.push(bytes);
     reader
 }
 
 #[test]
 fn reads_responses_one_after_another() {
-    let mut reader = reader(
-        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 204 No Content\r\n\r\n",
-    );
+    let mut reader =
+        reader(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 204 No Content\r\n\r\n");
     let first = reader.take(false).expect("readable").expect("whole");
     assert_eq!((first.status, &first.body[..]), (200, &b"ab"[..]));
     let second = reader.take(false).expect("readable").expect("whole");
@@ -22,7 +30,8 @@
 
 #[test]
 fn passes_over_interim_responses() {
-    let mut reader = reader(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let mut reader =
+        reader(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     let response = reader.take(false).expect("readable").expect("whole");
     assert_eq!(response.status, 200);
 }
@@ -32,7 +41,10 @@
     let bytes = b"HTTP/1.1 200 OK\r\n\r\nabc";
     let mut closed = reader(bytes);
     assert_eq!(closed.take(false), Ok(None));
-    let response = closed.finish(Ending::Closed).expect("whole").expect("there");
+    let response = closed
+        .finish(Ending::Closed)
+        .expect("whole")
+        .expect("there");
     assert_eq!(response.body, b"abc");
     let mut reset = reader(bytes);
     assert_eq!(reset.take(false), Ok(None));
@@ -74,7 +86,10 @@
 
 #[test]
 fn refuses_what_is_no_response() {
-    assert_eq!(reader(b"garbage\r\n\r\n").take(false), Err(WireError::Malformed));
+    assert_eq!(
+        reader(b"garbage\r\n\r\n").take(false),
+        Err(WireError::Malformed)
+    );
     let mut long = reader(b"HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n");
     assert_eq!(long.take(false), Err(WireError::BodyLimit));
 }
