--- a/crates/call/src/desk.rs
+++ b/crates/call/src/desk.rs
@@ -17,6 +17,8 @@
 const DEFAULT_DEADLINE: Span = Span::secs(30);
 /// The part of the objective that work is first believed to take.
 const FIRST_GUESS: f64 = 0.35;
+/// The pause before another search for a second worker, where one found none.
+const HEDGE_PAUSE: Span = Span::millis(50);
 /// How many times the typical work must still fit into the objective while a request waits for a
 /// better worker.
 const WAIT_MARGIN: f64 = 1.4;
@@ -231,11 +233,11 @@
                 service: &call.service,
             };
             let choice = self.table.next(now, &wanted, &mut self.rng);
-            let Some(choice) = choice.filter(|choice| choice.standing == Standing::Usable) else {
+            let Some(choice) = choice.filter(|choice| choice.standing <= Standing::Suspect) else {
                 self.settle(now, id);
                 return;
             };
-            if self.seems_free(now, &call, choice.key) {
+            if self.seems_free(now, &call, choice.key, choice.standing) {
                 self.open(now, id, choice.key);
                 return;
             }
@@ -244,14 +246,17 @@
     }
 
     /// Whether a worker has room as far as is known, and may get work without being asked.
-    fn seems_free(&mut self, now: Time, call: &Call, worker: Key) -> bool {
+    fn seems_free(&mut self, now: Time, call: &Call, worker: Key, standing: Standing) -> bool {
         let Some(belief) = self.table.get(worker) else {
             return false;
         };
         let load = belief.load(now);
         let room = load.is_none_or(|(load, age)| age > OLD_LOAD || self.has_room(call, load));
-        let warm = !belief.is_cold(now) && load.is_some_and(|(_, age)| age < WARM_FOR);
-        room && (warm || self.admits_cold(now, call, worker))
+        let heard = load.is_some_and(|(_, age)| age < WARM_FOR);
+        let warm = heard && !belief.is_cold(now);
+        // One that failed must at least have answered just now.
+        let sound = standing == Standing::Usable || heard;
+        room && sound && (warm || self.admits_cold(now, call, worker))
     }
 
     fn open(&mut self, now: Time, id: CallId, worker: Key) {
@@ -424,20 +429,24 @@
             Some(offer) if offer.expected <= call.left(now) || !may_wait => {
                 self.send(now, id, offer);
             }
-            _ if call.search == Search::Hedge => self.stop_search(id),
+            _ if call.search == Search::Hedge => self.stop_hedge(now, id),
             _ if may_wait => self.pause(now, id),
             Some(offer) => self.send(now, id, offer),
             None => self.give_up(now, id),
         }
     }
 
-    fn stop_search(&mut self, id: CallId) {
+    /// Ends the search for a second worker for now; it begins anew a little later.
+    fn stop_hedge(&mut self, now: Time, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         call.search = Search::Idle;
+        call.hedged = false;
         call.asked.clear();
-        if let Some(offer) = call.offer.take() {
+        let offer = call.offer.take();
+        self.timers.push(Reverse((now + HEDGE_PAUSE, id)));
+        if let Some(offer) = offer {
             self.release(offer.link);
         }
     }
@@ -466,22 +475,20 @@
         call.asked.clear();
         let left = call.deadline.since(now);
         let repeat = call.sent > 0;
-        let part = if call.search == Search::Hedge {
-            self.policy.hedge_part
-        } else {
-            1.0
-        };
+        let hedge = call.search == Search::Hedge;
+        let part = if hedge { self.policy.hedge_part } else { 1.0 };
         let service = call.service.clone();
         let before = call.sent;
         let members = self.table.members();
-        if left < MIN_LEFT {
+        let permitted =
+            left >= MIN_LEFT && (!repeat || self.retry_share(&service).take(now, members, part));
+        if !permitted {
             self.release(offer.link);
-            self.give_up(now, id);
-            return;
-        }
-        if repeat && !self.retry_share(&service).take(now, members, part) {
-            self.release(offer.link);
-            self.give_up(now, id);
+            if hedge {
+                self.stop_hedge(now, id);
+            } else {
+                self.give_up(now, id);
+            }
             return;
         }
         let step = Step::Sent {
--- a/crates/call/tests/desk/chaos.rs
+++ b/crates/call/tests/desk/chaos.rs
@@ -38,11 +38,7 @@
 impl World {
     fn new(seed: u64) -> Self {
         let mut policy = Policy::new(bounds());
-        policy.bounds.probes = if seed.is_multiple_of(2) {
-            10_000.0
-        } else {
-            10.0
-        };
+        policy.bounds.probes = if seed & 1 == 0 { 10_000.0 } else { 10.0 };
         Self {
             fates: Map::default(),
             links: Map::default(),
--- a/crates/call/tests/desk/failures.rs
+++ b/crates/call/tests/desk/failures.rs
@@ -1,7 +1,7 @@
 //! What becomes of a request when a worker fails it.
 
 use {
-    crate::scene::{Scene, bounds, free, route},
+    crate::scene::{Scene, bounds, free, health, route},
     call::{Action, Answer, Event, Policy, Refusal},
     site::Kind,
     std::sync::Arc,
@@ -160,3 +160,13 @@
     scene.told(third, free());
     assert_eq!(scene.sent(), third);
 }
+
+#[test]
+fn a_second_worker_is_looked_for_again_where_none_had_room() {
+    let mut scene = Scene::new(&["x", "y"]);
+    scene.at_work(&Arc::new(route("r", Kind::Idempotent)));
+    let others = scene.pass_telling(Span::millis(400), &health(4, 8, 100));
+    assert!(others.is_empty(), "{others:?}");
+    let others = scene.pass_telling(Span::millis(100), &free());
+    assert!(matches!(others[..], [Action::Send(..)]), "{others:?}");
+}
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -11,8 +11,6 @@
     ($($number:literal $ident:ident $name:literal;)*) => {
         $(pub(crate) const $ident: Event = Event { name: $name, number: $number };)*
 
-        /// All events, in the order of their numbers.
-        pub(crate) const ALL: &[Event] = &[$($ident),*];
     };
 }
 
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -10,9 +10,9 @@
     unit::{Span, Time},
 };
 
-/// The least time that a daemon without callers goes on after the order to stop, so that the others
-/// hear of it.
-const LEAST: Span = Span::millis(1_000);
+/// The least time that a daemon goes on after the order to stop: callers may use it for as long as
+/// they keep an answer of the directory from before.
+const LEAST: Span = Span::millis(2_500);
 
 /// How far the daemon is with stopping.
 #[derive(Clone, Copy, Debug, Default)]
--- /dev/null
+++ b/crates/daemon/tests/failures/explain.rs
@@ -0,0 +1,58 @@
+//! What operators can see of a request.
+
+use {
+    crate::scene::{caller, fleet, play_served, until},
+    standin::{Fault, Outcome},
+};
+
+#[test]
+fn the_log_leads_from_a_failed_requests_id_to_its_cause() {
+    let fleet = fleet();
+    for worker in &fleet.workers {
+        worker.set_fault(Fault::Resets);
+    }
+    let mut caller = caller("c");
+    let attempt = fleet.ask(&mut caller, 0, "POST", "/payouts/1");
+    assert_eq!(attempt.outcome, Outcome::Failed);
+    let own = format!("\"request\":\"{}\"", attempt.id);
+    until("it is logged", || {
+        let log = fleet.log(0).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().filter(|line| line.contains(&own)).collect();
+        [
+            "\"event\":\"sent\"",
+            "\"answer\":\"lost\"",
+            "\"status\":502",
+        ]
+        .iter()
+        .all(|part| lines.iter().any(|line| line.contains(part)))
+    });
+    let page = fleet
+        .operators_page(0, &format!("/explain?id={}", attempt.id))
+        .expect("a page");
+    let lines: serde_json::Value = serde_json::from_str(&page).expect("JSON");
+    assert!(
+        lines.as_array().is_some_and(|lines| lines.len() >= 3),
+        "{page}"
+    );
+}
+
+#[test]
+fn the_metrics_count_what_happened() {
+    let fleet = fleet();
+    let report = play_served(&fleet, &[0], 500);
+    let page = fleet.operators_page(0, "/metrics").expect("a page");
+    let line = format!("anvilferry_requests_total {}", report.attempts.len());
+    assert!(page.contains(&line), "{page}");
+    assert!(page.contains("anvilferry_latency_seconds_bucket"));
+}
+
+#[test]
+fn every_log_line_is_json_with_a_number_and_an_event() {
+    let fleet = fleet();
+    play_served(&fleet, &[0, 1], 300);
+    let log = fleet.log(0).expect("a log");
+    for line in log.lines() {
+        let line: serde_json::Value = serde_json::from_str(line).expect("JSON");
+        assert!(line["no"].is_u64() && line["event"].is_string(), "{line}");
+    }
+}
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -80,14 +80,19 @@
         };
         let request = client_request(method, path, HOST, &id, self.deadline, body);
         let began = Instant::now();
-        let result = self.exchange(daemon, &request, began);
+        let result = match self.connection(daemon) {
+            Ok(conn) => self
+                .exchange(daemon, conn, &request, began)
+                .map_err(|_| Outcome::Unanswered),
+            Err(_) => Err(Outcome::Unreachable),
+        };
         let took = began.elapsed();
         match result {
             Ok(response) => judge(&response, id, took),
-            Err(_) => Attempt {
+            Err(outcome) => Attempt {
                 again: None,
                 id,
-                outcome: Outcome::Unanswered,
+                outcome,
                 status: None,
                 took,
             },
@@ -99,17 +104,21 @@
         self.conn = None;
     }
 
+    fn connection(&mut self, daemon: SocketAddrV4) -> io::Result<TcpStream> {
+        match self.conn.take() {
+            Some((address, conn)) if address == daemon => Ok(conn),
+            _ => TcpStream::connect_timeout(&SocketAddr::V4(daemon), CONNECT),
+        }
+    }
+
     fn exchange(
         &mut self,
         daemon: SocketAddrV4,
+        mut conn: TcpStream,
         request: &Request,
         began: Instant,
     ) -> io::Result<Response> {
         let end = began + Duration::from(self.deadline) + Duration::from_millis(500);
-        let mut conn = match self.conn.take() {
-            Some((address, conn)) if address == daemon => conn,
-            _ => TcpStream::connect_timeout(&SocketAddr::V4(daemon), CONNECT)?,
-        };
         let response = exchange(&mut conn, request, end)?;
         if !response.last {
             self.conn = Some((daemon, conn));
--- a/crates/standin/src/outcome.rs
+++ b/crates/standin/src/outcome.rs
@@ -11,4 +11,6 @@
     Served,
     /// The connection ended without an answer.
     Unanswered,
+    /// No connection could be made.
+    Unreachable,
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -8,7 +8,7 @@
             Arc, Mutex, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
-        thread,
+        thread::{self, JoinHandle},
     },
     wire::{Limits, Request, RequestReader, Response},
 };
@@ -34,6 +34,7 @@
 pub(crate) struct Server {
     pub(crate) address: SocketAddrV4,
     conns: Arc<Mutex<Vec<TcpStream>>>,
+    listener: Option<JoinHandle<()>>,
     stop: Arc<AtomicBool>,
 }
 
@@ -41,14 +42,16 @@
     pub(crate) fn start(address: SocketAddrV4, handler: Arc<Handler>) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let port = listener.local_addr()?.port();
-        let server = Self {
+        let conns: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let stop: Arc<AtomicBool> = Arc::default();
+        let (held, stopped) = (Arc::clone(&conns), Arc::clone(&stop));
+        let thread = thread::spawn(move || accept(&listener, &held, &stopped, &handler));
+        Ok(Self {
             address: SocketAddrV4::new(*address.ip(), port),
-            conns: Arc::default(),
-            stop: Arc::default(),
-        };
-        let (conns, stop) = (Arc::clone(&server.conns), Arc::clone(&server.stop));
-        thread::spawn(move || accept(&listener, &conns, &stop, &handler));
-        Ok(server)
+            conns,
+            listener: Some(thread),
+            stop,
+        })
     }
 
     /// Ends all connections.
@@ -66,6 +69,10 @@
         self.stop.store(true, Ordering::Relaxed);
         // Wakes the listener, which then sees that it is to stop.
         let _ = TcpStream::connect(self.address);
+        if let Some(listener) = self.listener.take() {
+            // A listener that panicked holds its address no longer either.
+            let _ = listener.join();
+        }
         self.cut();
     }
 }
