--- /dev/null
+++ b/crates/cli/src/command/check.rs
@@ -0,0 +1,24 @@
+use {
+    crate::{context::Context, error::CliError, files::read_site},
+    std::path::PathBuf,
+};
+
+/// Checks a site's files.
+#[derive(Debug, clap::Args)]
+pub(crate) struct Check {
+    /// Files, or folders with .ini files.
+    #[arg(required = true)]
+    paths: Vec<PathBuf>,
+}
+
+impl Check {
+    pub(crate) fn run(&self, context: &Context) -> Result<(), CliError> {
+        let config = read_site(&self.paths, 0)?;
+        let routes: usize = config.hosts.values().map(Vec::len).sum();
+        let services = config.services.len();
+        let value = serde_json::json!({"services": services, "routes": routes});
+        context.show(&value, || {
+            format!("valid: {services} services, {routes} routes\n")
+        })
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/explain.rs
@@ -0,0 +1,81 @@
+use {
+    crate::{context::Context, error::CliError, http::page},
+    serde_json::Value,
+    std::{fs, net::SocketAddrV4, path::PathBuf},
+};
+
+/// Shows what was decided about a request.
+#[derive(Debug, clap::Args)]
+pub(crate) struct Explain {
+    /// The request's id.
+    request: String,
+
+    /// A daemon's address for operators.
+    #[arg(long, required_unless_present = "log")]
+    daemon: Option<SocketAddrV4>,
+
+    /// Log files of daemons, in place of a daemon.
+    #[arg(long, value_name = "FILE")]
+    log: Vec<PathBuf>,
+}
+
+impl Explain {
+    pub(crate) fn run(&self, context: &Context) -> Result<(), CliError> {
+        let mut lines = self.logged()?;
+        if let Some(address) = self.daemon {
+            let text = page(
+                address,
+                &format!("/explain?id={}", self.request),
+                context.timeout,
+            )?;
+            lines.extend(serde_json::from_str::<Vec<Value>>(&text)?);
+        }
+        if lines.is_empty() {
+            let told = format!(
+                "nothing is known of {}; give the log of its daemon",
+                self.request
+            );
+            return Err(CliError::Refused(told));
+        }
+        lines.sort_by_key(|line| line["unix_ms"].as_u64());
+        context.show(&lines, || lines.iter().map(sentence).collect())
+    }
+
+    fn logged(&self) -> Result<Vec<Value>, CliError> {
+        let mut lines = Vec::new();
+        for file in &self.log {
+            let text = fs::read_to_string(file).map_err(|error| CliError::Unreadable {
+                error,
+                file: file.display().to_string(),
+            })?;
+            // Other programs may write to the same file; their lines say nothing here.
+            let own = text
+                .lines()
+                .filter_map(|line| serde_json::from_str(line).ok());
+            lines.extend(own.filter(|line: &Value| line["request"] == *self.request));
+        }
+        Ok(lines)
+    }
+}
+
+/// A log line as `+12 ms sent worker=w-1 …`.
+fn sentence(line: &Value) -> String {
+    const APART: [&str; 7] = [
+        "at_ms",
+        "unix_ms",
+        "no",
+        "event",
+        "request",
+        "elapsed_ms",
+        "daemon",
+    ];
+    let elapsed = &line["elapsed_ms"];
+    let event = line["event"].as_str().unwrap_or_default();
+    let daemon = line["daemon"].as_str().unwrap_or_default();
+    let fields = line.as_object().into_iter().flatten();
+    let fields: String = fields
+        .filter(|(name, value)| !APART.contains(&name.as_str()) && !value.is_null())
+        .map(|(name, value)| format!(" {name}={}", value.to_string().trim_matches('"')))
+        .collect();
+    format!("{daemon} +{elapsed} ms {event}{fields}\n")
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,5 @@
+//! The operators' tool.
+
+fn main() -> std::process::ExitCode {
+    cli::run()
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -98,6 +98,7 @@
             centre: settings.centre.clone(),
             ip: settings.ip,
             name: settings.name.clone(),
+            operators: listen.operators.map(|address| address.port()),
             port,
         };
         let table = Table::new(settings.name.clone(), settings.centre.clone());
--- a/crates/daemon/src/platform_io.rs
+++ b/crates/daemon/src/platform_io.rs
@@ -16,6 +16,10 @@
     wire::{Ending, Limits, Response, ResponseReader},
 };
 
+/// How long a daemon that is new to the fleet leaves cold workers to the others, which may not know
+/// yet that they share them with it.
+const JOIN_WAIT: Span = Span::secs(3);
+
 /// A connection to the store, for one call at a time.
 #[derive(Debug)]
 pub(crate) struct StoreConn {
@@ -271,6 +275,10 @@
                 let actions = self.roster.announce(now, &own);
                 self.roster_actions(now, actions);
             }
+            News::Registered(new) => {
+                let wait = if new { JOIN_WAIT } else { Span::ZERO };
+                self.desk.table.feed_cold_from(now + wait);
+            }
             News::Regained => self.tell(now, event::STORE_REGAINED, json!({})),
             News::Unreadable(name, reason) => {
                 let fields = json!({"object": name, "reason": reason.to_string()});
--- a/crates/daemon/tests/failures/workers.rs
+++ b/crates/daemon/tests/failures/workers.rs
@@ -132,6 +132,10 @@
     plan.workers = vec!["a"];
     let fleet = Fleet::start(&plan).expect("a fleet");
     fleet.workers[0].chill(Duration::from_secs(60));
+    until("new daemons may send to cold workers", || {
+        play(&fleet, &[0, 1, 2, 3], 200);
+        fleet.ledger.runs().iter().any(|run| run.cold)
+    });
     play(&fleet, &[0, 1, 2, 3], 2_500);
     let runs = fleet.ledger.runs();
     let cold: Vec<_> = runs.iter().filter(|run| run.cold).collect();
--- a/crates/peer/src/beat.rs
+++ b/crates/peer/src/beat.rs
@@ -19,6 +19,17 @@
     pub stage: Stage,
 }
 
+/// Another daemon that the receiver may not know.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Its data centre.
+    pub centre: Name,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its name.
+    pub name: Name,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
@@ -26,6 +37,8 @@
     pub age: Span,
     /// The sender's data centre.
     pub centre: Name,
+    /// Daemons that the sender knows; told only to one that seeks them.
+    pub contacts: Vec<Contact>,
     /// How many heartbeats the sender made in this life.
     pub count: u32,
     /// The sender's address.
@@ -38,6 +51,8 @@
     pub revs: Revs,
     /// What the sender last heard of the others.
     pub rows: Vec<Row>,
+    /// Whether the sender has heard of daemons that it doesn't know.
+    pub seeks: bool,
     /// Where the sender stands.
     pub stage: Stage,
     /// How the sender stands with the store.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,7 +11,7 @@
 mod stage;
 
 pub use {
-    beat::{Beat, Row},
+    beat::{Beat, Contact, Row},
     codec::{decode, encode},
     error::PeerError,
     fetch::{Fetch, Frame},
--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{Beat, Member, Row, Stage, Watch},
+    crate::{Beat, Contact, Member, Row, Stage, Watch},
     fastrand::Rng,
     site::Revs,
     std::net::Ipv4Addr,
@@ -20,6 +20,8 @@
 const WATCHERS: usize = 3;
 /// The age from which on a daemon's knowledge of the site is too old to rely on the watchers.
 const STALE: Span = Span::millis(1_000);
+/// Daemons of which a new one is told at most, so that the message stays one datagram.
+const MAX_CONTACTS: usize = 24;
 /// Heartbeats by which one may be late and still count; others may have told of newer ones.
 const REORDER: u32 = 5;
 /// How long a daemon waits for word from others before it turns to the store itself.
@@ -58,6 +60,8 @@
     rng: Rng,
     /// Addresses that may belong to daemons of which nothing else is known.
     seeds: Vec<Ipv4Addr>,
+    /// Whether another daemon told of one that isn't known here.
+    seeks: bool,
     /// The last heartbeat of this daemon.
     ticked: Time,
 }
@@ -82,6 +86,7 @@
             name,
             rng,
             seeds,
+            seeks: false,
             ticked: now,
         }
     }
@@ -197,12 +202,20 @@
             watch: beat.watch,
         };
         self.hear_rows(now, &beat.rows);
+        for contact in &beat.contacts {
+            self.enter(contact.name.clone(), contact.centre.clone(), contact.ip);
+        }
         let mut actions = Vec::new();
         if beat.revs.ahead(&own.revs) {
             actions.push(Action::Fetch(beat.ip));
         }
-        if reborn {
-            actions.extend(self.send(now, own, vec![beat.ip]));
+        if reborn || beat.seeks {
+            self.count += 1;
+            let mut answer = self.beat(now, own);
+            answer.contacts = self.contacts(&beat.name);
+            // Two daemons that both seek would answer each other without end.
+            answer.seeks = false;
+            actions.push(Action::Send(beat.ip, answer));
         }
         actions
     }
@@ -216,18 +229,39 @@
             .collect()
     }
 
+    /// Some of the daemons that a new one may not know, those that were heard first.
+    fn contacts(&mut self, new: &Name) -> Vec<Contact> {
+        let others = self.members.iter().filter(|(name, _)| *name != new);
+        let mut contacts: Vec<Contact> = others
+            .map(|(name, member)| Contact {
+                centre: member.centre.clone(),
+                ip: member.ip,
+                name: name.clone(),
+            })
+            .collect();
+        self.rng.shuffle(&mut contacts);
+        contacts.sort_by_key(|contact| self.members[&contact.name].heard.is_none());
+        contacts.truncate(MAX_CONTACTS);
+        contacts
+    }
+
     fn hear_rows(&mut self, now: Time, rows: &[Row]) {
-        let rows: Map<u32, &Row> = rows.iter().map(|row| (row.key, row)).collect();
+        let mut rows: Map<u32, &Row> = rows.iter().map(|row| (row.key, row)).collect();
+        rows.remove(&key(&self.name));
         for (name, member) in &mut self.members {
-            let Some(row) = rows.get(&key(name)) else {
+            let Some(row) = rows.remove(&key(name)) else {
                 continue;
             };
-            if row.life == member.life && row.count > member.count {
+            let dead = member.heard.is_none_or(|at| now.since(at) >= ALIVE);
+            let newer = row.life == member.life && row.count > member.count;
+            if newer || (row.life != member.life && dead) {
                 member.count = row.count;
+                member.life = row.life;
                 member.heard = Some(now);
                 member.stage = row.stage;
             }
         }
+        self.seeks = !rows.is_empty();
     }
 
     /// After this process stood still, the others' silence says nothing of them.
@@ -276,12 +310,14 @@
         Beat {
             age: self.age(now, own),
             centre: self.centre.clone(),
+            contacts: Vec::new(),
             count: self.count,
             ip: self.ip,
             life: self.life,
             name: self.name.clone(),
             revs: own.revs,
             rows: rows.collect(),
+            seeks: self.seeks,
             stage: own.stage,
             watch: own.watch,
         }
--- a/crates/pick/src/table.rs
+++ b/crates/pick/src/table.rs
@@ -43,6 +43,8 @@
     beliefs: Map<Key, Belief>,
     /// This daemon's data centre.
     centre: Name,
+    /// When this daemon may begin to send to cold workers; `None` while it must not.
+    cold_from: Option<Time>,
     evacuated: Set<Name>,
     ids: Map<Name, Key>,
     /// The registered daemons and their data centres.
@@ -60,6 +62,7 @@
             beliefs: Map::default(),
             members: [(name.clone(), centre.clone())].into_iter().collect(),
             centre,
+            cold_from: None,
             evacuated: Set::default(),
             ids: Map::default(),
             name,
@@ -214,8 +217,17 @@
         belief.probe_share.take(now, rate)
     }
 
+    /// Lets this daemon send to cold workers from a moment on: by then, all others must count it
+    /// among those that share what cold workers bear.
+    pub fn feed_cold_from(&mut self, at: Time) {
+        self.cold_from = Some(at);
+    }
+
     /// Whether a cold worker may get one more request, at most `bound` a second for the fleet.
     pub fn admits_cold(&mut self, key: Key, now: Time, bound: f64) -> bool {
+        if self.cold_from.is_none_or(|at| now < at) {
+            return false;
+        }
         let Some(belief) = self.beliefs.get(&key) else {
             return false;
         };
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -219,6 +219,16 @@
     assert!(taken >= 500, "{taken}");
 }
 
+#[test]
+fn a_daemon_that_is_new_leaves_cold_workers_to_the_others_for_a_while() {
+    let mut table = table();
+    let key = table.enter(worker("x", "a"), at(0));
+    assert!(!table.admits_cold(key, at(0), 20.0));
+    table.feed_cold_from(at(3_000));
+    assert!(!table.admits_cold(key, at(2_999), 20.0));
+    assert!(table.admits_cold(key, at(3_000), 20.0));
+}
+
 #[test]
 fn the_typical_time_follows_the_median() {
     let mut typical = Typical::new(Span::millis(10));
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -8,16 +8,15 @@
         read_answer, resolve_request,
     },
     std::{
-        io::{self, ErrorKind, Read, Write},
+        io,
         net::{SocketAddr, SocketAddrV4, TcpStream},
         time::{Duration, Instant},
     },
     unit::Span,
-    wire::{Ending, Limits, Request, Response, ResponseReader},
+    wire::{Limits, Request, Response, exchange},
 };
 
 const CONNECT: Duration = Duration::from_secs(1);
-const CHUNK: usize = 16 << 10;
 
 /// What came of one request.
 #[derive(Clone, Debug)]
@@ -64,7 +63,12 @@
     pub fn resolve(directory: SocketAddrV4, centre: &str) -> io::Result<Vec<SocketAddrV4>> {
         let mut conn = TcpStream::connect_timeout(&SocketAddr::V4(directory), CONNECT)?;
         let request = resolve_request(HOST, "region", centre);
-        let response = exchange(&mut conn, &request, Instant::now() + CONNECT)?;
+        let response = exchange(
+            &mut conn,
+            &request,
+            Limits::default(),
+            Instant::now() + CONNECT,
+        )?;
         let (addresses, _) = decode_addresses(&response).map_err(io::Error::other)?;
         Ok(addresses)
     }
@@ -119,7 +123,7 @@
         began: Instant,
     ) -> io::Result<Response> {
         let end = began + Duration::from(self.deadline) + Duration::from_millis(500);
-        let response = exchange(&mut conn, request, end)?;
+        let response = exchange(&mut conn, request, Limits::default(), end)?;
         if !response.last {
             self.conn = Some((daemon, conn));
         }
@@ -145,29 +149,3 @@
         took,
     }
 }
-
-fn exchange(conn: &mut TcpStream, request: &Request, end: Instant) -> io::Result<Response> {
-    conn.set_nodelay(true)?;
-    let mut out = Vec::new();
-    request.encode(&mut out);
-    conn.write_all(&out)?;
-    let mut reader = ResponseReader::new(Limits::default());
-    let mut chunk = vec![0; CHUNK];
-    loop {
-        if let Some(response) = reader.take(false).map_err(io::Error::other)? {
-            return Ok(response);
-        }
-        let left = end.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(ErrorKind::TimedOut.into());
-        }
-        conn.set_read_timeout(Some(left))?;
-        match conn.read(&mut chunk)? {
-            0 => {
-                let whole = reader.finish(Ending::Closed).map_err(io::Error::other)?;
-                return whole.ok_or_else(|| ErrorKind::UnexpectedEof.into());
-            }
-            size => reader.push(&chunk[..size]),
-        }
-    }
-}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -183,8 +183,13 @@
     /// Fails where it isn't in time.
     pub fn wait_ready(&self, at: usize) -> Result<(), StandinError> {
         let ready = self.daemons[at].settings.listen.ready;
-        wait_until(&format!("daemon {at} is ready"), START, || {
+        let waited = wait_until(&format!("daemon {at} is ready"), START, || {
             get(ready, "/v1/ready").is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
+        });
+        waited.map_err(|error| {
+            // The log says why; where it can't be read either, that is said in its place.
+            let log = self.log(at).unwrap_or_else(|error| error.to_string());
+            StandinError::Late(format!("{error}\n{log}"))
         })
     }
 
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -44,6 +44,16 @@
     Truncates,
 }
 
+/// How work on a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Worked {
+    Done,
+    /// The caller went away.
+    Gone,
+    /// The time ran out.
+    Late,
+}
+
 #[derive(Debug)]
 struct Desk {
     cold: Option<Instant>,
@@ -198,18 +208,25 @@
             request: id.clone(),
             worker: self.id.clone(),
         });
-        let finished = self.work(conn, end);
+        let worked = self.work(conn, end);
         let (fault, last) = {
             let mut desk = self.lock();
             desk.running -= 1;
             (desk.fault, desk.last.replace(id.clone()))
         };
         self.free.notify_one();
-        if !finished {
-            return Reaction::Close;
+        match worked {
+            Worked::Gone => Reaction::Close,
+            Worked::Late => {
+                let mut response = Response::new(504);
+                sign(&mut response, &id, self.load(&self.lock()));
+                Reaction::Answer(response)
+            }
+            Worked::Done => {
+                self.ledger.finish(at);
+                self.answer(request, &id, fault, last)
+            }
         }
-        self.ledger.finish(at);
-        self.answer(request, &id, fault, last)
     }
 
     fn health(&self) -> Health {
@@ -259,8 +276,7 @@
         true
     }
 
-    /// Works until done; false where the caller went away or the time ran out.
-    fn work(&self, conn: &TcpStream, end: Instant) -> bool {
+    fn work(&self, conn: &TcpStream, end: Instant) -> Worked {
         let (pace, fault) = {
             let desk = self.lock();
             (desk.pace, desk.fault)
@@ -274,12 +290,15 @@
         loop {
             let now = Instant::now();
             if now >= done {
-                return true;
+                return Worked::Done;
             }
-            if now >= end || gone(conn) {
-                return false;
+            if now >= end {
+                return Worked::Late;
+            }
+            if gone(conn) {
+                return Worked::Gone;
             }
-            thread::sleep(LOOK.min(done - now));
+            thread::sleep(LOOK.min(done.min(end) - now));
         }
     }
 
--- a/crates/store/src/action.rs
+++ b/crates/store/src/action.rs
@@ -41,6 +41,8 @@
     Members(Vec<(Rev, MemberEntry)>),
     /// The store answers again after it failed.
     Regained,
+    /// This daemon has an entry; whether it is new, so that the others don't know of it yet.
+    Registered(bool),
     /// An object can't be understood and is passed over.
     Unreadable(Name, DecodeError),
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -71,12 +71,12 @@
 
     /// Whether all topics are being watched, so that what is known of them is current.
     pub fn watching(&self) -> bool {
-        self.role == Role::Watcher
-            && self.failing.is_none()
-            && self.follows.iter().all(|follow| {
-                matches!(follow.phase, Phase::Watching(_))
-                    || matches!(follow.phase, Phase::Pause(_))
-            })
+        let current = |follow: &Follow| match follow.phase {
+            Phase::Watching(_) => true,
+            Phase::Pause(_) => follow.current,
+            Phase::Listing { .. } | Phase::Off => false,
+        };
+        self.role == Role::Watcher && self.failing.is_none() && self.follows.iter().all(current)
     }
 
     /// The role.
@@ -182,6 +182,7 @@
 
     fn turn(&mut self, at: usize, now: Time) {
         let follow = &mut self.follows[at];
+        follow.current = false;
         match self.role {
             Role::Watcher => follow.phase = Phase::Pause(now),
             Role::Reader => {
@@ -232,6 +233,7 @@
 
     fn topic_failed(&mut self, now: Time, at: usize) {
         let pause = self.follows[at].backoff.next(&mut self.rng);
+        self.follows[at].current = false;
         self.follows[at].phase = Phase::Pause(now + pause);
     }
 
@@ -243,6 +245,7 @@
             Reply::Events(objects, rev) => {
                 let items = self.items(topic, objects, now);
                 self.change(topic, false, items, rev, now);
+                self.follows[at].current = true;
                 self.follows[at].phase = Phase::Pause(now + GATHER);
             }
             Reply::Compacted => self.list(at),
@@ -281,6 +284,7 @@
         let items = std::mem::take(items);
         if next.is_none() {
             self.change(topic, true, items, rev, now);
+            self.follows[at].current = true;
             self.follows[at].phase = Phase::Pause(now);
             return;
         }
@@ -336,6 +340,7 @@
     }
 
     fn member_failed(&mut self, now: Time) {
+        self.registration.lost |= matches!(self.registration.stage, Stage::Creating(_));
         let pause = self.registration.backoff.next(&mut self.rng);
         self.registration.stage = Stage::Pause(now + pause);
     }
@@ -345,7 +350,10 @@
         match reply {
             // A conflict settles a lost answer, too: the entry exists.
             Reply::Conflict | Reply::Done => {
+                let lost = self.registration.lost;
+                let new = reply == Reply::Done || lost;
                 self.registration.entered = true;
+                self.actions.push(Action::News(News::Registered(new)));
                 self.list_members(None, Vec::new());
             }
             Reply::Page { next, objects, .. } => self.member_page(next, objects),
--- a/crates/store/src/registration.rs
+++ b/crates/store/src/registration.rs
@@ -29,6 +29,8 @@
     pub(crate) backoff: Backoff,
     /// Whether the entry is known to exist.
     pub(crate) entered: bool,
+    /// Whether the answer to a call that writes the entry was lost.
+    pub(crate) lost: bool,
     pub(crate) own: MemberEntry,
     pub(crate) stage: Stage,
 }
@@ -38,6 +40,7 @@
         Self {
             backoff: Backoff::default(),
             entered: false,
+            lost: false,
             own,
             stage: Stage::Pause(now),
         }
--- a/crates/store/src/topic.rs
+++ b/crates/store/src/topic.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Follow {
     pub(crate) backoff: Backoff,
+    /// Whether what is known was current at the last answer.
+    pub(crate) current: bool,
     pub(crate) phase: Phase,
     pub(crate) topic: Topic,
 }
@@ -34,6 +36,7 @@
     pub(crate) fn new(topic: Topic) -> Self {
         Self {
             backoff: Backoff::default(),
+            current: false,
             phase: Phase::Off,
             topic,
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,9 @@
-//! HTTP/1.1 messages read from and written to byte buffers, without sockets or clocks.
+//! HTTP/1.1 messages read from and written to byte buffers, without sockets or clocks; and one
+//! blocking exchange for tools.
 
 mod body;
 mod error;
+mod exchange;
 mod headers;
 mod limits;
 mod request;
@@ -11,6 +13,7 @@
 
 pub use {
     error::WireError,
+    exchange::exchange,
     headers::Headers,
     limits::Limits,
     request::Request,
