--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -30,7 +30,7 @@
     pub(crate) at: Time,
     pub(crate) expected: Span,
     pub(crate) link: LinkId,
-    pub(crate) pace: f64,
+    pub(crate) load: Option<Load>,
     pub(crate) worker: Key,
 }
 
@@ -70,7 +70,7 @@
     pub(crate) pause: Option<Time>,
     /// Whether some worker may have run it.
     pub(crate) ran: bool,
-    /// Whether it was refused by a worker's own word.
+    /// Its route.
     pub(crate) route: Arc<Route>,
     /// Why it looks for a worker.
     pub(crate) search: Search,
@@ -80,6 +80,8 @@
     pub(crate) service: Name,
     /// Workers to which it was sent.
     pub(crate) tried: Vec<Key>,
+    /// Whether it has waited for a better worker.
+    pub(crate) waited: bool,
 }
 
 impl Call {
@@ -100,6 +102,7 @@
             sent: 0,
             service,
             tried: Vec::new(),
+            waited: false,
         }
     }
 
--- a/crates/call/src/desk.rs
+++ b/crates/call/src/desk.rs
@@ -7,7 +7,7 @@
     },
     fastrand::Rng,
     limit::RetryShare,
-    pick::{Key, Outcome, Standing, Table, Typical, Wanted},
+    pick::{Key, Outcome, Standing, Table, Wanted, Work},
     site::{Config, Health, Load},
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc},
     unit::{Map, Name, Span, Time},
@@ -33,8 +33,6 @@
 const COME_BACK: f64 = 0.5;
 /// Requests beyond its slots that a worker gets from requests of the highest rank.
 const URGENT_QUEUE: u32 = 2;
-/// How old a load may be to be relied on.
-const OLD_LOAD: Span = Span::millis(50);
 /// How long a worker that was warm is taken for warm without being asked.
 const WARM_FOR: Span = Span::millis(500);
 /// Least time that must be left for a worker to be given the request.
@@ -56,7 +54,7 @@
     /// What is believed of the workers.
     pub table: Table,
     timers: BinaryHeap<Reverse<(Time, CallId)>>,
-    typical: Map<Name, Typical>,
+    work: Map<Name, Work>,
 }
 
 impl Desk {
@@ -75,7 +73,7 @@
             splits: Map::default(),
             table,
             timers: BinaryHeap::new(),
-            typical: Map::default(),
+            work: Map::default(),
         }
     }
 
@@ -144,11 +142,11 @@
         })
     }
 
-    fn typical(&mut self, call: &Call) -> &mut Typical {
+    fn work(&mut self, call: &Call) -> &mut Work {
         let guess = call.route.objective.scale(FIRST_GUESS);
-        self.typical
+        self.work
             .entry(call.route.name.clone())
-            .or_insert_with(|| Typical::new(guess))
+            .or_insert_with(|| Work::new(guess))
     }
 
     /// Asks the next worker, or settles where enough were asked.
@@ -162,15 +160,18 @@
         }
         let mut skip = [&call.asked[..], &call.tried[..]].concat();
         let (excluded, asked) = (call.tried.len(), skip.len());
+        let call = call.clone();
+        let patient = call.waited && self.may_wait(now, &call);
         let service = call.service.clone();
         let bound = self.policy.bounds.probes;
         loop {
             let wanted = Wanted {
+                patient,
                 skip: &skip,
                 service: &service,
             };
             let Some(choice) = self.table.next(now, &wanted, &mut self.rng) else {
-                if skip.len() == excluded {
+                if skip.len() == excluded && !patient {
                     // There is no worker to wait for.
                     self.give_up(now, id);
                 } else if skip.len() > asked {
@@ -229,6 +230,7 @@
         let mut skip = [&call.asked[..], &call.tried[..]].concat();
         loop {
             let wanted = Wanted {
+                patient: false,
                 skip: &skip,
                 service: &call.service,
             };
@@ -251,7 +253,7 @@
             return false;
         };
         let load = belief.load(now);
-        let room = load.is_none_or(|(load, age)| age > OLD_LOAD || self.has_room(call, load));
+        let room = load.is_none_or(|(load, _)| self.has_room(call, load));
         let heard = load.is_some_and(|(_, age)| age < WARM_FOR);
         let warm = heard && !belief.is_cold(now);
         // One that failed must at least have answered just now.
@@ -284,7 +286,7 @@
             return;
         }
         let call = call.clone();
-        let typical = self.typical(&call).span();
+        let work = *self.work(&call);
         let Some(belief) = self.table.get(ask.worker) else {
             self.drop_link(link);
             self.search(now, id);
@@ -292,7 +294,7 @@
         };
         let offer = Offer {
             cold: belief.is_cold(now),
-            expected: belief.expected(now, typical),
+            expected: belief.expected(now, &work),
             link,
             load: belief.load(now).map(|(load, _)| load),
             worker: ask.worker,
@@ -382,11 +384,11 @@
         if cold && !self.admits_cold(now, &call, ask.worker) {
             return None;
         }
-        let typical = self.typical(&call).span();
+        let work = *self.work(&call);
         let belief = self.table.get(ask.worker)?;
         Some(Offer {
             cold,
-            expected: belief.expected(now, typical),
+            expected: belief.expected(now, &work),
             link: ask.link,
             load: health.load,
             worker: ask.worker,
@@ -423,8 +425,7 @@
         let Some(call) = self.calls.get(&id).cloned() else {
             return;
         };
-        let typical = self.typical(&call).span();
-        let may_wait = call.left(now) > typical.scale(WAIT_MARGIN) + self.policy.pause;
+        let may_wait = self.may_wait(now, &call);
         match call.offer {
             Some(offer) if offer.expected <= call.left(now) || !may_wait => {
                 self.send(now, id, offer);
@@ -436,6 +437,12 @@
         }
     }
 
+    /// Whether the objective can still be met after another pause.
+    fn may_wait(&mut self, now: Time, call: &Call) -> bool {
+        let usual = self.work(call).usual();
+        call.left(now) > usual.scale(WAIT_MARGIN) + self.policy.pause
+    }
+
     /// Ends the search for a second worker for now; it begins anew a little later.
     fn stop_hedge(&mut self, now: Time, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
@@ -459,6 +466,7 @@
         };
         call.asked.clear();
         call.pause = Some(now + span);
+        call.waited = true;
         let offer = call.offer.take();
         self.timers.push(Reverse((now + span, id)));
         self.note(now, id, Step::Waits(span));
@@ -510,7 +518,7 @@
             at: now,
             expected: offer.expected,
             link: offer.link,
-            pace: offer.load.map_or(1.0, |load| f64::from(load.pace) / 100.0),
+            load: offer.load,
             worker: offer.worker,
         });
         self.actions.push(Action::Send(id, offer.link, left));
@@ -526,7 +534,7 @@
         if !call.idempotent() || call.hedged || !call.may_send() {
             return;
         }
-        let typical = self.typical(&call).span();
+        let typical = self.work(&call).usual();
         let latest = (call.began + call.route.objective).back(typical.scale(HEDGE_MARGIN));
         let at = latest.max(now + expected.scale(HEDGE_AFTER));
         if at < call.deadline {
@@ -609,7 +617,7 @@
         if told.answer == Answer::Served
             && let Some(call) = self.calls.get(&id).cloned()
         {
-            self.typical(&call).add(took.scale(1.0 / attempt.pace));
+            self.work(&call).add(attempt.load, took);
         }
     }
 
--- a/crates/daemon/src/platform_io.rs
+++ b/crates/daemon/src/platform_io.rs
@@ -16,6 +16,8 @@
     wire::{Ending, Limits, Response, ResponseReader},
 };
 
+/// The source of what the store told itself, in the log.
+const STORE: &str = "store";
 /// How long a daemon that is new to the fleet leaves cold workers to the others, which may not know
 /// yet that they share them with it.
 const JOIN_WAIT: Span = Span::secs(3);
@@ -107,6 +109,9 @@
         for effect in effects {
             self.take_effect(now, effect, source, rev.0);
         }
+        if source != STORE && self.view.revs().of(topic) > before.of(topic) {
+            self.store.outrun(topic, now);
+        }
         if topic == Topic::Workers {
             self.close_unknown();
         }
@@ -158,7 +163,8 @@
                     "source": source,
                 });
                 self.tell(now, event::WORKER_GONE, fields);
-                self.desk.table.leave(&id, departure, now);
+                let drain = self.settings.bounds.drain;
+                self.desk.table.leave(&id, departure, drain, now);
             }
             Effect::WorkerStale(id) => {
                 let fields = json!({"worker": id, "rev": rev, "source": source});
@@ -261,7 +267,7 @@
 
     fn store_news(&mut self, now: Time, news: News) {
         match news {
-            News::Change(change) => self.take_change(now, change, "store"),
+            News::Change(change) => self.take_change(now, change, STORE),
             News::Lost(topic) => {
                 let topic = topic.map(|topic| format!("{topic:?}").to_lowercase());
                 self.tell(now, event::STORE_LOST, json!({"topic": topic}));
--- a/crates/limit/src/probe.rs
+++ b/crates/limit/src/probe.rs
@@ -2,8 +2,8 @@
 
 /// The part of the fleet's bound that the daemons spend together.
 const MARGIN: f64 = 0.9;
-/// The health requests that a share may save up, in seconds of its rate.
-const BURST_SECONDS: f64 = 2.0;
+/// The health requests that a share may save up for busy times, in seconds of its rate.
+const BURST_SECONDS: f64 = 10.0;
 
 /// One daemon's share of the health requests that a worker may get in a second.
 #[derive(Clone, Debug)]
--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -8,16 +8,19 @@
 
 /// The pause between two heartbeats.
 pub const PERIOD: Span = Span::millis(200);
-/// How long a daemon whose heartbeats stopped counts as alive.
-const ALIVE: Span = Span::millis(1_200);
+/// How long a daemon of the own data centre whose heartbeats stopped counts as alive.
+const ALIVE_NEAR: Span = Span::millis(1_200);
+/// The same for daemons of other data centres, from which heartbeats come less often.
+const ALIVE_FAR: Span = Span::millis(4_000);
 /// How long this process may stand still before what it heard counts as fresh again.
 const STALL: Span = Span::millis(600);
-/// In fleets up to this size each heartbeat goes to all others.
-const FULL_MESH: usize = 16;
-/// Daemons that get a heartbeat in larger fleets.
-const FANOUT: usize = 6;
-/// Daemons that watch the store for all.
-const WATCHERS: usize = 3;
+/// Daemons of the own data centre that get each heartbeat.
+const FANOUT: usize = 5;
+/// Heartbeats a second from all daemons of one data centre to each other data centre. Bytes between
+/// data centres are dear, so their number doesn't grow with the fleet.
+const FAR_RATE: f64 = 5.0;
+/// One heartbeat in so many goes to a daemon that isn't known to be alive.
+const SEEK_ONE_IN: usize = 4;
 /// The age from which on a daemon's knowledge of the site is too old to rely on the watchers.
 const STALE: Span = Span::millis(1_000);
 /// Daemons of which a new one is told at most, so that the message stays one datagram.
@@ -110,7 +113,12 @@
 
     /// Whether a daemon's heartbeats arrive.
     pub fn alive(&self, member: &Member, now: Time) -> bool {
-        member.heard.is_some_and(|at| now.since(at) < ALIVE)
+        let span = if member.centre == self.centre {
+            ALIVE_NEAR
+        } else {
+            ALIVE_FAR
+        };
+        member.heard.is_some_and(|at| now.since(at) < span)
     }
 
     /// How many other daemons are alive.
@@ -119,10 +127,11 @@
         self.members.values().filter(alive).count()
     }
 
-    /// Whether this daemon is to watch the store: it is among the first of those that the store
-    /// doesn't fail, or what it knows is too old. One that the store fails goes on trying only
-    /// where it is among the first of all, so that an outage costs few calls.
+    /// Whether this daemon is to watch the store: it is the first of its data centre that the store
+    /// doesn't fail, or what it knows is too old. One that the store fails goes on trying only where
+    /// it is the first of all in its data centre, so that an outage costs few calls.
     pub fn must_watch(&self, now: Time, own: &Own) -> bool {
+        const ORDER: &str = "watch";
         if own.stage == Stage::Leaving || now.since(self.began) < SETTLE {
             return false;
         }
@@ -130,15 +139,14 @@
         if !failing && self.age(now, own) >= STALE {
             return true;
         }
-        let mut all: Vec<(Name, Name)> = self
+        let first = (rank(ORDER, &self.name), &self.name);
+        !self
             .members
             .iter()
-            .filter(|(_, member)| self.alive(member, now) && member.stage != Stage::Leaving)
+            .filter(|(_, member)| member.centre == self.centre && self.alive(member, now))
+            .filter(|(_, member)| member.stage != Stage::Leaving)
             .filter(|(_, member)| failing || member.watch != Watch::Failing)
-            .map(|(name, member)| (name.clone(), member.centre.clone()))
-            .collect();
-        all.push((self.name.clone(), self.centre.clone()));
-        watchers(all).any(|name| name == self.name)
+            .any(|(name, _)| (rank(ORDER, name), name) < first)
     }
 
     /// How old this daemon's knowledge of the site is.
@@ -159,17 +167,35 @@
     pub fn tick(&mut self, now: Time, own: &Own) -> Vec<Action> {
         self.forgive_stall(now);
         self.ticked = now;
-        let mut targets = self.targets(now);
+        self.count += 1;
+        let mut near = self.near_targets(now);
         if self.count_alive(now) == 0 {
-            targets.extend(self.seeds.iter().filter(|ip| **ip != self.ip));
+            near.extend(self.seeds.iter().filter(|ip| **ip != self.ip));
+        }
+        let far = self.far_targets(now);
+        let mut beat = self.beat(now, own);
+        beat.rows = self.rows(now, |_| true);
+        let mut actions: Vec<Action> = near
+            .into_iter()
+            .map(|ip| Action::Send(ip, beat.clone()))
+            .collect();
+        if !far.is_empty() {
+            beat.rows = self.rows(now, |member| member.centre == self.centre);
+            let sends = far.into_iter().map(|ip| Action::Send(ip, beat.clone()));
+            actions.extend(sends);
         }
-        self.send(now, own, targets)
+        actions
     }
 
-    /// Tells all daemons at once that this one knows more of the site.
+    /// Tells daemons of the own data centre at once that this one knows more of the site, or stands
+    /// elsewhere in its life.
     pub fn announce(&mut self, now: Time, own: &Own) -> Vec<Action> {
-        let targets = self.targets(now);
-        self.send(now, own, targets)
+        self.count += 1;
+        let beat = self.beat(now, own);
+        self.near_targets(now)
+            .into_iter()
+            .map(|ip| Action::Send(ip, beat.clone()))
+            .collect()
     }
 
     /// Takes in a heartbeat; asks its sender for what it knows further, and answers one that
@@ -202,6 +228,9 @@
             watch: beat.watch,
         };
         self.hear_rows(now, &beat.rows);
+        if !beat.contacts.is_empty() {
+            self.seeks = false;
+        }
         for contact in &beat.contacts {
             self.enter(contact.name.clone(), contact.centre.clone(), contact.ip);
         }
@@ -220,15 +249,6 @@
         actions
     }
 
-    fn send(&mut self, now: Time, own: &Own, targets: Vec<Ipv4Addr>) -> Vec<Action> {
-        self.count += 1;
-        let beat = self.beat(now, own);
-        targets
-            .into_iter()
-            .map(|ip| Action::Send(ip, beat.clone()))
-            .collect()
-    }
-
     /// Some of the daemons that a new one may not know, those that were heard first.
     fn contacts(&mut self, new: &Name) -> Vec<Contact> {
         let others = self.members.iter().filter(|(name, _)| *name != new);
@@ -252,7 +272,7 @@
             let Some(row) = rows.remove(&key(name)) else {
                 continue;
             };
-            let dead = member.heard.is_none_or(|at| now.since(at) >= ALIVE);
+            let dead = member.heard.is_none_or(|at| now.since(at) >= ALIVE_NEAR);
             let newer = row.life == member.life && row.count > member.count;
             if newer || (row.life != member.life && dead) {
                 member.count = row.count;
@@ -261,7 +281,9 @@
                 member.stage = row.stage;
             }
         }
-        self.seeks = !rows.is_empty();
+        if !rows.is_empty() {
+            self.seeks = true;
+        }
     }
 
     /// After this process stood still, the others' silence says nothing of them.
@@ -277,36 +299,74 @@
         }
     }
 
-    fn targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
-        let mut ips: Vec<Ipv4Addr> = self.members.values().map(|member| member.ip).collect();
-        if ips.len() <= FULL_MESH {
-            return ips;
-        }
-        let alive: Vec<Ipv4Addr> = self
+    /// Daemons of the own data centre, by chance where there are many; now and then one that isn't
+    /// known to be alive.
+    fn near_targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        let near = |member: &&Member| member.centre == self.centre;
+        let (mut alive, mut silent): (Vec<&Member>, Vec<&Member>) = self
             .members
             .values()
-            .filter(|member| self.alive(member, now))
+            .filter(near)
+            .partition(|member| self.alive(member, now));
+        self.rng.shuffle(&mut alive);
+        self.rng.shuffle(&mut silent);
+        let many = alive.len() >= FANOUT;
+        let seek = if !many {
+            FANOUT - alive.len()
+        } else {
+            usize::from(self.rng.usize(..SEEK_ONE_IN) == 0)
+        };
+        alive.truncate(FANOUT);
+        let silent = silent.into_iter().take(seek);
+        alive
+            .into_iter()
+            .chain(silent)
             .map(|member| member.ip)
-            .collect();
-        if alive.len() >= FANOUT {
-            ips = alive;
-        }
-        self.rng.shuffle(&mut ips);
-        ips.truncate(FANOUT);
-        ips
+            .collect()
     }
 
-    fn beat(&self, now: Time, own: &Own) -> Beat {
-        let rows = self
+    /// At most one daemon of each other data centre, by chance.
+    fn far_targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        let near = self
             .members
+            .values()
+            .filter(|member| member.centre == self.centre && self.alive(member, now));
+        let share = FAR_RATE * PERIOD.as_secs() / (near.count() + 1) as f64;
+        let mut centres: Map<Name, Vec<(bool, Ipv4Addr)>> = Map::default();
+        for member in self.members.values() {
+            if member.centre != self.centre {
+                let known = centres.entry(member.centre.clone()).or_default();
+                known.push((self.alive(member, now), member.ip));
+            }
+        }
+        let mut targets = Vec::new();
+        for mut members in centres.into_values() {
+            let seek = self.rng.usize(..SEEK_ONE_IN) == 0;
+            if !seek && members.iter().any(|(alive, _)| *alive) {
+                members.retain(|(alive, _)| *alive);
+            }
+            if self.rng.f64() < share {
+                targets.extend(self.rng.choice(members).map(|(_, ip)| ip));
+            }
+        }
+        targets
+    }
+
+    fn rows(&self, now: Time, wanted: impl Fn(&Member) -> bool) -> Vec<Row> {
+        self.members
             .iter()
-            .filter(|(_, member)| self.alive(member, now))
+            .filter(|(_, member)| self.alive(member, now) && wanted(member))
             .map(|(name, member)| Row {
                 count: member.count,
                 key: key(name),
                 life: member.life,
                 stage: member.stage,
-            });
+            })
+            .collect()
+    }
+
+    /// A heartbeat without rows.
+    fn beat(&self, now: Time, own: &Own) -> Beat {
         Beat {
             age: self.age(now, own),
             centre: self.centre.clone(),
@@ -316,7 +376,7 @@
             life: self.life,
             name: self.name.clone(),
             revs: own.revs,
-            rows: rows.collect(),
+            rows: Vec::new(),
             seeks: self.seeks,
             stage: own.stage,
             watch: own.watch,
@@ -324,23 +384,6 @@
     }
 }
 
-/// The first daemons in an order that puts one of each data centre before a second of any.
-fn watchers(mut all: Vec<(Name, Name)>) -> impl Iterator<Item = Name> {
-    const ORDER: &str = "watch";
-    all.sort_by_key(|(name, _)| (rank(ORDER, name), name.clone()));
-    let mut seen: Map<Name, usize> = Map::default();
-    let mut placed: Vec<(usize, Name)> = all
-        .into_iter()
-        .map(|(name, centre)| {
-            let before = seen.entry(centre).or_default();
-            *before += 1;
-            (*before, name)
-        })
-        .collect();
-    placed.sort_by_key(|(place, _)| *place);
-    placed.into_iter().take(WATCHERS).map(|(_, name)| name)
-}
-
 fn key(name: &str) -> u32 {
     // Half of the hash is dropped on purpose: rows must stay small.
     rank("row", name) as u32
--- a/crates/pick/src/belief.rs
+++ b/crates/pick/src/belief.rs
@@ -1,4 +1,5 @@
 use {
+    crate::{Work, work::SLOW_PACE},
     limit::{ColdShare, ProbeShare},
     site::{Health, Load, State, Worker},
     unit::{Span, Time},
@@ -124,11 +125,11 @@
         self.load.map(|(load, at)| (load, now.since(at)))
     }
 
-    /// The time after which an answer is expected to work that takes `typical` at the usual pace.
-    pub fn expected(&self, now: Time, typical: Span) -> Span {
+    /// The time after which an answer is expected.
+    pub fn expected(&self, now: Time, work: &Work) -> Span {
         let own = self.slowness(now).max(1.0);
         let Some((load, _)) = self.load else {
-            return typical.scale(own);
+            return work.usual().scale(own);
         };
         let slots = f64::from(load.slots.max(1));
         let busy = f64::from(load.running) + 1.0;
@@ -137,9 +138,9 @@
         } else {
             1.0
         };
-        let pace = f64::from(load.pace) / 100.0;
         let behind = (f64::from(load.running + load.waiting) + 1.0 - slots).max(0.0);
-        typical.scale(own * pace * crowded * (1.0 + behind / slots))
+        let base = work.under(Some(load));
+        base.scale(own * crowded * (1.0 + behind / slots))
     }
 
     /// Times as slow as its load lets expect.
@@ -148,6 +149,14 @@
         self.slowness.powf(0.5_f64.powf(age / SLOWNESS_HALF_LIFE))
     }
 
+    /// Whether it was found slow or full within the last `span`.
+    pub(crate) fn bad_news(&self, now: Time, span: Span) -> bool {
+        self.load(now).is_some_and(|(load, age)| {
+            let full = load.running + load.waiting >= load.slots;
+            age < span && (full || load.pace >= SLOW_PACE)
+        })
+    }
+
     pub(crate) fn healthy(&mut self, now: Time, health: &Health) {
         self.strikes = 0;
         self.suspect = Time::ZERO;
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -5,6 +5,7 @@
 mod outcome;
 mod table;
 mod typical;
+mod work;
 
 pub use {
     belief::{Belief, Standing},
@@ -12,4 +13,5 @@
     outcome::Outcome,
     table::{Choice, Table, Wanted},
     typical::Typical,
+    work::Work,
 };
--- a/crates/pick/src/table.rs
+++ b/crates/pick/src/table.rs
@@ -9,8 +9,8 @@
 
 /// How long a worker that was found slow or full is passed over while others are left.
 const BAD_NEWS: Span = Span::millis(60);
-/// The pace in percent from which on a machine counts as slow.
-const SLOW_PACE: u32 = 200;
+/// How long such a worker isn't asked at all by a request that waits.
+const RECHECK: Span = Span::millis(25);
 /// One request in so many asks a worker first that this daemon never used.
 const TRY_NEW_ONE_IN: u32 = 8;
 /// The part of a worker's health requests that the daemons of its own data centre may make; the
@@ -20,6 +20,8 @@
 /// What a request wants of a worker.
 #[derive(Clone, Debug)]
 pub struct Wanted<'a> {
+    /// Whether workers are passed over that were found slow or full just now.
+    pub patient: bool,
     /// Workers that it won't ask again.
     pub skip: &'a [Key],
     /// The service that serves it.
@@ -99,11 +101,11 @@
         key
     }
 
-    /// Takes in that a worker's entry is gone.
-    pub fn leave(&mut self, id: &str, departure: Departure, now: Time) {
+    /// Takes in that a worker's entry is gone; workers that leave may get work for the span `drain`.
+    pub fn leave(&mut self, id: &str, departure: Departure, drain: Span, now: Time) {
         let belief = self.ids.get(id).and_then(|key| self.beliefs.get_mut(key));
         if let Some(belief) = belief {
-            let until = now + departure.grace();
+            let until = now + departure.grace(drain);
             let sooner = belief.leaves.map_or(until, |known| known.min(until));
             belief.leaves = Some(sooner);
         }
@@ -174,7 +176,7 @@
                 continue;
             };
             let standing = self.standing(*key, now);
-            if standing == Standing::Barred {
+            if standing == Standing::Barred || (wanted.patient && belief.bad_news(now, RECHECK)) {
                 continue;
             }
             let near = belief.worker.centre == self.centre;
@@ -285,6 +287,9 @@
             return;
         };
         belief.inflight = belief.inflight.saturating_sub(1);
+        if let Some((load, _)) = &mut belief.load {
+            load.running = load.running.saturating_sub(1);
+        }
         match outcome {
             Outcome::Failed => belief.failed(now),
             Outcome::Served(took) => {
@@ -329,10 +334,7 @@
     match standing {
         Standing::Usable if try_new && !belief.used => 0,
         Standing::Usable => {
-            let bad = belief.load(now).is_some_and(|(load, age)| {
-                let full = load.running + load.waiting >= load.slots;
-                age < BAD_NEWS && (full || load.pace >= SLOW_PACE)
-            });
+            let bad = belief.bad_news(now, BAD_NEWS);
             1 + u32::from(!near) + 2 * u32::from(bad)
         }
         Standing::Suspect => 5,
--- a/crates/site/src/departed.rs
+++ b/crates/site/src/departed.rs
@@ -4,6 +4,12 @@
     unit::{Span, Time},
 };
 
+/// How much of the time to drain a worker is used whose entry may come back. The rest covers the way
+/// of the news to the last daemon.
+const LAPSED_PART: f64 = 0.85;
+/// The same for a worker whose entry won't come back.
+const LEFT_PART: f64 = 0.25;
+
 /// Why a worker's entry went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Departure {
@@ -14,11 +20,12 @@
 }
 
 impl Departure {
-    /// How long a worker that was ready may still be used after its entry went.
-    pub const fn grace(self) -> Span {
+    /// How long a worker that was ready may still be used after its entry went, where one that
+    /// leaves may get work for the span `drain`.
+    pub fn grace(self, drain: Span) -> Span {
         match self {
-            Self::Lapsed => Span::millis(2_500),
-            Self::Left => Span::millis(500),
+            Self::Lapsed => drain.scale(LAPSED_PART),
+            Self::Left => drain.scale(LEFT_PART),
         }
     }
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -21,6 +21,8 @@
 const GATHER: Span = Span::millis(120);
 /// How long after a failure of the store a missing worker may be one that will come back.
 const TROUBLE: Span = Span::secs(4);
+/// How long a watch may lack what another daemon already told.
+const OUTRUN: Span = Span::millis(800);
 /// How long a daemon that reads from others holds the store for failing.
 const FAILING: Span = Span::secs(3);
 
@@ -87,6 +89,10 @@
     /// Takes on or gives up the watch.
     pub fn set_role(&mut self, role: Role, now: Time) -> Vec<Action> {
         if role != self.role {
+            if !self.failing(now) {
+                // A failure from before says nothing of the store now.
+                self.failing = None;
+            }
             self.role = role;
             for at in 0..self.follows.len() {
                 self.turn(at, now);
@@ -102,20 +108,19 @@
         }
     }
 
-    /// Breaks off the watch of a topic that another daemon knows further, and begins it anew.
-    pub fn suspect(&mut self, topic: Topic, now: Time) -> Vec<Action> {
-        let at = index(topic);
-        if let Phase::Watching(call) = self.follows[at].phase {
-            self.failed(now, Some(topic));
-            self.topic_failed(now, at);
-            self.actions.push(Action::Cancel(call));
+    /// Takes in that another daemon knew a topic further. Where the own watch doesn't tell the same
+    /// soon, it is broken off and begun anew.
+    pub fn outrun(&mut self, topic: Topic, now: Time) {
+        let follow = &mut self.follows[index(topic)];
+        if matches!(follow.phase, Phase::Watching(_)) {
+            follow.outrun.get_or_insert(now);
         }
-        std::mem::take(&mut self.actions)
     }
 
     /// Does what is due; `revs` is what this daemon knows of the topics.
     pub fn tick(&mut self, now: Time, revs: &Revs) -> Vec<Action> {
         for at in 0..self.follows.len() {
+            self.check_outrun(at, now);
             if let Phase::Pause(until) = self.follows[at].phase
                 && until <= now
             {
@@ -180,9 +185,25 @@
         }
     }
 
+    fn check_outrun(&mut self, at: usize, now: Time) {
+        let follow = &mut self.follows[at];
+        let (Phase::Watching(call), Some(since)) = (&follow.phase, follow.outrun) else {
+            return;
+        };
+        if now.since(since) < OUTRUN {
+            return;
+        }
+        let (call, topic) = (*call, follow.topic);
+        follow.outrun = None;
+        self.actions.push(Action::Cancel(call));
+        self.failed(now, Some(topic));
+        self.topic_failed(now, at);
+    }
+
     fn turn(&mut self, at: usize, now: Time) {
         let follow = &mut self.follows[at];
         follow.current = false;
+        follow.seen = Rev::default();
         match self.role {
             Role::Watcher => follow.phase = Phase::Pause(now),
             Role::Reader => {
@@ -197,11 +218,12 @@
     /// Reads a topic of which nothing is known, and watches any other.
     fn start(&mut self, at: usize, revs: &Revs) {
         let topic = self.follows[at].topic;
-        let from = revs.of(topic);
-        if from == Rev::default() {
+        let known = revs.of(topic);
+        if known == Rev::default() {
             self.list(at);
             return;
         }
+        let from = known.max(self.follows[at].seen);
         let watch = Call::Watch {
             from,
             topic,
@@ -239,12 +261,16 @@
 
     fn topic_reply(&mut self, now: Time, at: usize, reply: Reply) {
         self.follows[at].backoff.reset();
+        self.follows[at].outrun = None;
         let topic = self.follows[at].topic;
         match reply {
             Reply::Page { next, objects, rev } => self.page(now, at, next, objects, rev),
             Reply::Events(objects, rev) => {
                 let items = self.items(topic, objects, now);
-                self.change(topic, false, items, rev, now);
+                if let Some(newest) = items.iter().map(|item| item.rev).max() {
+                    self.change(topic, false, items, newest, now);
+                }
+                self.follows[at].seen = self.follows[at].seen.max(rev);
                 self.follows[at].current = true;
                 self.follows[at].phase = Phase::Pause(now + GATHER);
             }
--- a/crates/store/src/topic.rs
+++ b/crates/store/src/topic.rs
@@ -28,7 +28,12 @@
     pub(crate) backoff: Backoff,
     /// Whether what is known was current at the last answer.
     pub(crate) current: bool,
+    /// When another daemon first knew something that the watch hasn't told yet.
+    pub(crate) outrun: Option<Time>,
     pub(crate) phase: Phase,
+    /// The revision up to which this daemon's own watch has told everything. It runs ahead of what
+    /// other daemons are told, which is the revision of the last change.
+    pub(crate) seen: Rev,
     pub(crate) topic: Topic,
 }
 
@@ -37,7 +42,9 @@
         Self {
             backoff: Backoff::default(),
             current: false,
+            outrun: None,
             phase: Phase::Off,
+            seen: Rev::default(),
             topic,
         }
     }
