--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -15,7 +15,7 @@
 /// The most addresses in an answer of the directory.
 pub(crate) const MAX_ADDRESSES: usize = 64;
 /// When callers that can't be served yet may come back.
-pub(crate) const COME_BACK: Span = Span::millis(250);
+pub(crate) const COME_BACK: Span = Span::millis(100);
 /// How long after the order to stop requests are still taken, as a part of the time to stop.
 pub(crate) const TAKE_PART: f64 = 0.5;
 /// How long after the order to stop idle connections of callers are kept, as a part of the same.
--- a/crates/daemon/src/platform_io.rs
+++ b/crates/daemon/src/platform_io.rs
@@ -276,7 +276,9 @@
                 for (_, entry) in entries {
                     self.roster.enter(entry.name, entry.centre, entry.ip);
                 }
+                self.roster.listed();
                 self.share_members();
+                self.choose_role(now);
                 let own = self.own();
                 let actions = self.roster.announce(now, &own);
                 self.roster_actions(now, actions);
--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -27,8 +27,9 @@
 const MAX_CONTACTS: usize = 24;
 /// Heartbeats by which one may be late and still count; others may have told of newer ones.
 const REORDER: u32 = 5;
-/// How long a daemon waits for word from others before it turns to the store itself.
-const SETTLE: Span = Span::millis(400);
+/// How long a daemon that isn't the first of its data centre waits for word from others before it
+/// turns to the store itself.
+const SETTLE: Span = Span::millis(300);
 
 /// What this daemon says of itself.
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +59,8 @@
     count: u32,
     ip: Ipv4Addr,
     life: u32,
+    /// Whether the daemons that are registered are all known.
+    listed: bool,
     members: Map<Name, Member>,
     name: Name,
     rng: Rng,
@@ -85,6 +88,7 @@
             count: 0,
             ip,
             life: rng.u32(..),
+            listed: false,
             members: Map::default(),
             name,
             rng,
@@ -127,26 +131,43 @@
         self.members.values().filter(alive).count()
     }
 
+    /// Takes in that all registered daemons have been entered.
+    pub fn listed(&mut self) {
+        self.listed = true;
+    }
+
     /// Whether this daemon is to watch the store: it is the first of its data centre that the store
-    /// doesn't fail, or what it knows is too old. One that the store fails goes on trying only where
+    /// doesn't fail, or what it knows is too old. Right after its start, when it can't know who lives,
+    /// it is the first of all that are registered there. One that the store fails goes on trying only where
     /// it is the first of all in its data centre, so that an outage costs few calls.
     pub fn must_watch(&self, now: Time, own: &Own) -> bool {
-        const ORDER: &str = "watch";
-        if own.stage == Stage::Leaving || now.since(self.began) < SETTLE {
+        if own.stage == Stage::Leaving {
             return false;
         }
         let failing = own.watch == Watch::Failing;
+        if now.since(self.began) < SETTLE {
+            return self.listed && self.first_of(|_| true);
+        }
         if !failing && self.age(now, own) >= STALE {
             return true;
         }
-        let first = (rank(ORDER, &self.name), &self.name);
+        self.first_of(|member| {
+            self.alive(member, now)
+                && member.stage != Stage::Leaving
+                && (failing || member.watch != Watch::Failing)
+        })
+    }
+
+    /// Whether this daemon comes before all others of its data centre of some kind, in an order that
+    /// all compute alike.
+    fn first_of(&self, kind: impl Fn(&Member) -> bool) -> bool {
+        const ORDER: &str = "watch";
+        let own = (rank(ORDER, &self.name), &self.name);
         !self
             .members
             .iter()
-            .filter(|(_, member)| member.centre == self.centre && self.alive(member, now))
-            .filter(|(_, member)| member.stage != Stage::Leaving)
-            .filter(|(_, member)| failing || member.watch != Watch::Failing)
-            .any(|(name, _)| (rank(ORDER, name), name) < first)
+            .filter(|(_, member)| member.centre == self.centre && kind(member))
+            .any(|(name, _)| (rank(ORDER, name), name) < own)
     }
 
     /// How old this daemon's knowledge of the site is.
--- a/crates/peer/tests/fleet.rs
+++ b/crates/peer/tests/fleet.rs
@@ -345,3 +345,23 @@
         assert_eq!(fleet.watchers(), replaced);
     }
 }
+
+#[test]
+fn right_after_a_start_only_the_first_of_each_data_centre_turns_to_the_store() {
+    let mut fleet = Fleet::new(13);
+    for at in 0..13 {
+        for other in 0..13 {
+            let centre = ["a", "b", "c"][other % 3].into();
+            fleet.nodes[at].roster.enter(name(other), centre, ip(other));
+        }
+    }
+    let wants = |fleet: &Fleet| {
+        let node = |node: &&Node| node.roster.must_watch(fleet.now, &node.own);
+        fleet.nodes.iter().filter(node).count()
+    };
+    assert_eq!(wants(&fleet), 0);
+    for node in &mut fleet.nodes {
+        node.roster.listed();
+    }
+    assert_eq!(wants(&fleet), 3);
+}
