--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -31,6 +31,7 @@
     210 PEER_LOST "peer-lost";
     211 PEER_REGAINED "peer-regained";
     212 PEER_MESSAGE_REFUSED "peer-message-refused";
+    213 MEMBER_REMOVED "member-removed";
     300 CONFIG_IN_FORCE "config-in-force";
     301 CENTRE_EVACUATED "centre-evacuated";
     302 CENTRE_RETURNED "centre-returned";
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -53,6 +53,10 @@
         self.roster_actions(now, actions);
         self.choose_role(now);
         self.note_alive(now);
+        if self.roster.forsaken(now) {
+            // The others may deal this daemon's share of what cold workers bear among themselves.
+            self.desk.table.feed_cold_from(None);
+        }
         self.desk.table.forget(now);
         self.close_unknown();
     }
--- a/crates/daemon/src/platform_io.rs
+++ b/crates/daemon/src/platform_io.rs
@@ -8,11 +8,11 @@
         options::{MAX_ANSWER, STORE_IDLE},
     },
     pick::Key,
-    platform::{Call, encode_call},
+    platform::{Call, MemberEntry, encode_call},
     serde_json::json,
-    site::{Change, Effect, Topic},
+    site::{Change, Effect, Rev, Topic},
     store::{Action, CallId, Failure, News, Role},
-    unit::{Name, Span, Time},
+    unit::{Name, Set, Span, Time},
     wire::{Ending, Limits, Response, ResponseReader},
 };
 
@@ -273,10 +273,16 @@
                 self.tell(now, event::STORE_LOST, json!({"topic": topic}));
             }
             News::Members(entries) => {
-                for (_, entry) in entries {
-                    self.roster.enter(entry.name, entry.centre, entry.ip);
+                let names: Set<Name> = entries
+                    .iter()
+                    .map(|(_, entry)| entry.name.clone())
+                    .collect();
+                for (_, entry) in &entries {
+                    let (name, centre) = (entry.name.clone(), entry.centre.clone());
+                    self.roster.enter(now, name, centre, entry.ip);
                 }
-                self.roster.listed();
+                self.roster.listed(now, &names);
+                self.remove_retired(now, &entries);
                 self.share_members();
                 self.choose_role(now);
                 let own = self.own();
@@ -285,7 +291,7 @@
             }
             News::Registered(new) => {
                 let wait = if new { JOIN_WAIT } else { Span::ZERO };
-                self.desk.table.feed_cold_from(now + wait);
+                self.desk.table.feed_cold_from(Some(now + wait));
             }
             News::Regained => self.tell(now, event::STORE_REGAINED, json!({})),
             News::Unreadable(name, reason) => {
@@ -295,6 +301,18 @@
         }
     }
 
+    /// Takes away the entries of daemons that are gone for good.
+    fn remove_retired(&mut self, now: Time, entries: &[(Rev, MemberEntry)]) {
+        let retired = self.roster.retired(now);
+        for (rev, entry) in entries {
+            if retired.contains(&entry.name) {
+                self.tell(now, event::MEMBER_REMOVED, json!({"peer": entry.name}));
+                let actions = self.store.remove_member(entry.name.clone(), *rev);
+                self.store_actions(now, actions);
+            }
+        }
+    }
+
     /// Lets the table know which daemons share the fleet's limits.
     pub(crate) fn share_members(&mut self) {
         let members = self.roster.members().iter();
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -14,6 +14,8 @@
     pub centre: Name,
     /// How many heartbeats it made in this life.
     pub count: u32,
+    /// When this daemon first knew of it.
+    pub entered: Time,
     /// When its count last grew; `None` before that.
     pub heard: Option<Time>,
     /// Its address.
--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -3,7 +3,7 @@
     fastrand::Rng,
     site::Revs,
     std::net::Ipv4Addr,
-    unit::{Map, Name, Span, Time, rank},
+    unit::{Map, Name, Set, Span, Time, rank},
 };
 
 /// The pause between two heartbeats.
@@ -23,6 +23,8 @@
 const SEEK_ONE_IN: usize = 4;
 /// The age from which on a daemon's knowledge of the site is too old to rely on the watchers.
 const STALE: Span = Span::millis(1_000);
+/// How long a daemon is silent before its entry is taken away.
+const RETIRE: Span = Span::secs(600);
 /// Daemons of which a new one is told at most, so that the message stays one datagram.
 const MAX_CONTACTS: usize = 24;
 /// Heartbeats by which one may be late and still count; others may have told of newer ones.
@@ -104,14 +106,14 @@
     }
 
     /// Takes in a daemon that is registered.
-    pub fn enter(&mut self, name: Name, centre: Name, ip: Ipv4Addr) {
+    pub fn enter(&mut self, now: Time, name: Name, centre: Name, ip: Ipv4Addr) {
         if name == self.name {
             return;
         }
         let member = self
             .members
             .entry(name)
-            .or_insert_with(|| unheard(centre, ip));
+            .or_insert_with(|| unheard(now, centre, ip));
         member.ip = ip;
     }
 
@@ -131,9 +133,43 @@
         self.members.values().filter(alive).count()
     }
 
-    /// Takes in that all registered daemons have been entered.
-    pub fn listed(&mut self) {
+    /// Takes in that all registered daemons have been entered: others that aren't alive are
+    /// forgotten.
+    pub fn listed(&mut self, now: Time, registered: &Set<Name>) {
         self.listed = true;
+        let alive: Set<Name> = self
+            .members
+            .iter()
+            .filter(|(_, member)| self.alive(member, now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        self.members
+            .retain(|name, _| registered.contains(name) || alive.contains(name));
+    }
+
+    /// The daemons that are gone for good, where this daemon is the one to say so: it hears most of
+    /// the others, and comes first among those of its data centre that live.
+    pub fn retired(&self, now: Time) -> Vec<Name> {
+        let most = (self.count_alive(now) + 1) * 2 > self.members.len() + 1;
+        if !most || !self.first_of(|member| self.alive(member, now)) {
+            return Vec::new();
+        }
+        let silent = |member: &Member| now.since(member.heard.unwrap_or(member.entered));
+        self.members
+            .iter()
+            .filter(|(_, member)| silent(member) >= RETIRE)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Whether this daemon has heard no other for so long that others may take it for gone.
+    pub fn forsaken(&self, now: Time) -> bool {
+        let silent = |member: &Member| now.since(member.heard.unwrap_or(member.entered));
+        !self.members.is_empty()
+            && self
+                .members
+                .values()
+                .all(|member| silent(member) >= RETIRE / 2)
     }
 
     /// Whether this daemon is to watch the store: it is the first of its data centre that the store
@@ -228,7 +264,7 @@
         let member = self
             .members
             .entry(beat.name.clone())
-            .or_insert_with(|| unheard(beat.centre.clone(), beat.ip));
+            .or_insert_with(|| unheard(now, beat.centre.clone(), beat.ip));
         let reborn = member.life != beat.life;
         if !reborn && beat.count + REORDER < member.count {
             return Vec::new();
@@ -236,6 +272,7 @@
         *member = Member {
             age: Some((beat.age, now)),
             centre: beat.centre.clone(),
+            entered: member.entered,
             count: if reborn {
                 beat.count
             } else {
@@ -253,7 +290,12 @@
             self.seeks = false;
         }
         for contact in &beat.contacts {
-            self.enter(contact.name.clone(), contact.centre.clone(), contact.ip);
+            self.enter(
+                now,
+                contact.name.clone(),
+                contact.centre.clone(),
+                contact.ip,
+            );
         }
         let mut actions = Vec::new();
         if beat.revs.ahead(&own.revs) {
@@ -410,11 +452,12 @@
     rank("row", name) as u32
 }
 
-fn unheard(centre: Name, ip: Ipv4Addr) -> Member {
+fn unheard(now: Time, centre: Name, ip: Ipv4Addr) -> Member {
     Member {
         age: None,
         centre,
         count: 0,
+        entered: now,
         heard: None,
         ip,
         life: 0,
--- a/crates/pick/src/table.rs
+++ b/crates/pick/src/table.rs
@@ -219,10 +219,10 @@
         belief.probe_share.take(now, rate)
     }
 
-    /// Lets this daemon send to cold workers from a moment on: by then, all others must count it
-    /// among those that share what cold workers bear.
-    pub fn feed_cold_from(&mut self, at: Time) {
-        self.cold_from = Some(at);
+    /// Lets this daemon send to cold workers from a moment on, or not at all: all others must count
+    /// it among those that share what cold workers bear.
+    pub fn feed_cold_from(&mut self, at: Option<Time>) {
+        self.cold_from = at;
     }
 
     /// Whether a cold worker may get one more request, at most `bound` a second for the fleet.
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -147,6 +147,17 @@
         Ok(())
     }
 
+    /// Starts a daemon that isn't running, whose log nobody reads.
+    ///
+    /// # Errors
+    /// Fails where it can't be started.
+    pub fn launch_unread(&mut self, at: usize) -> Result<(), StandinError> {
+        let daemon = &mut self.daemons[at];
+        let variable = (SETTINGS_VARIABLE, daemon.settings_file.as_path());
+        daemon.process = Some(Process::start_unread(&self.program, variable)?);
+        Ok(())
+    }
+
     /// Kills a daemon.
     pub fn kill(&mut self, at: usize) {
         self.daemons[at].process = None;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -42,6 +42,20 @@
         Ok(Self { child })
     }
 
+    /// Starts a program with a variable, whose output nobody reads.
+    ///
+    /// # Errors
+    /// Fails where the program can't be started.
+    pub fn start_unread(program: &Path, variable: (&str, &Path)) -> Result<Self, StandinError> {
+        let child = Command::new(program)
+            .env(variable.0, variable.1)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Self { child })
+    }
+
     /// Sends it a signal.
     ///
     /// # Errors
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -21,6 +21,8 @@
 const GATHER: Span = Span::millis(120);
 /// How long after a failure of the store a missing worker may be one that will come back.
 const TROUBLE: Span = Span::secs(4);
+/// How often a daemon reads the entries of all, on average.
+const REFRESH: Span = Span::secs(600);
 /// How long a watch may lack what another daemon already told.
 const OUTRUN: Span = Span::millis(800);
 /// How long a daemon that reads from others holds the store for failing.
@@ -101,11 +103,11 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Reads the daemons' entries again.
-    pub fn refresh_members(&mut self, now: Time) {
-        if matches!(self.registration.stage, Stage::Done) {
-            self.registration.stage = Stage::Pause(now);
-        }
+    /// Takes away the entry of a daemon that is gone for good. Where that fails, the entry is found
+    /// again with the next list.
+    pub fn remove_member(&mut self, name: Name, rev: Rev) -> Vec<Action> {
+        self.call(Call::RemoveMember(name, rev), CALL_TIME);
+        std::mem::take(&mut self.actions)
     }
 
     /// Takes in that another daemon knew a topic further. Where the own watch doesn't tell the same
@@ -382,14 +384,14 @@
                 self.actions.push(Action::News(News::Registered(new)));
                 self.list_members(None, Vec::new());
             }
-            Reply::Page { next, objects, .. } => self.member_page(next, objects),
+            Reply::Page { next, objects, .. } => self.member_page(now, next, objects),
             Reply::Compacted | Reply::Events(..) | Reply::NotFound | Reply::Refused(_) => {
                 self.member_failed(now);
             }
         }
     }
 
-    fn member_page(&mut self, next: Option<Name>, objects: Vec<Object>) {
+    fn member_page(&mut self, now: Time, next: Option<Name>, objects: Vec<Object>) {
         let Stage::Listing { found, .. } = &mut self.registration.stage else {
             return;
         };
@@ -414,7 +416,8 @@
             .map(|(rev, _)| *rev);
         self.registration.stage = match other {
             Some(rev) => Stage::Replacing(self.call(Call::ReplaceMember(own, rev), CALL_TIME)),
-            None => Stage::Done,
+            // The list is read again now and then, so that entries of daemons that are gone end.
+            None => Stage::Pause(now + REFRESH.scale(0.5 + self.rng.f64())),
         };
         self.actions.push(Action::News(News::Members(found)));
     }
--- a/crates/store/src/registration.rs
+++ b/crates/store/src/registration.rs
@@ -10,8 +10,6 @@
 pub(crate) enum Stage {
     /// The entry is being written.
     Creating(CallId),
-    /// The entry exists and the list of all was read.
-    Done,
     /// A page of the daemons' entries is awaited.
     Listing {
         call: CallId,
@@ -51,7 +49,7 @@
             Stage::Creating(call) | Stage::Listing { call, .. } | Stage::Replacing(call) => {
                 Some(*call)
             }
-            Stage::Done | Stage::Pause(_) => None,
+            Stage::Pause(_) => None,
         }
     }
 }
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -161,6 +161,20 @@
     assert_eq!(scene.news, [News::Registered(false)]);
 }
 
+#[test]
+fn reads_the_entries_again_now_and_then_and_takes_away_those_that_it_is_told() {
+    let mut scene = Scene::registered();
+    scene.pass(Span::secs(200));
+    assert!(!scene.has(is_member_list));
+    scene.pass(Span::secs(800));
+    assert!(scene.has(is_member_list));
+    let actions = scene.client.remove_member("front-b-1".into(), Rev(4));
+    scene.take(actions);
+    let removed = |call: &Call| matches!(call, Call::RemoveMember(_, Rev(4)));
+    scene.answer(removed, Ok(Reply::NotFound));
+    assert!(!scene.client.failing(scene.now));
+}
+
 #[test]
 fn a_lost_answer_to_the_registration_is_settled_by_the_next_try() {
     let mut scene = Scene::new();
