--- a/crates/cli/src/command/explain.rs
+++ b/crates/cli/src/command/explain.rs
@@ -69,7 +69,7 @@
         "elapsed_ms",
         "daemon",
     ];
-    let elapsed = &line["elapsed_ms"];
+    let elapsed = line["elapsed_ms"].as_u64().unwrap_or_default();
     let event = line["event"].as_str().unwrap_or_default();
     let daemon = line["daemon"].as_str().unwrap_or_default();
     let fields = line.as_object().into_iter().flatten();
--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,37 @@
+//! Short soaks, and the seeds of longer ones that once failed.
+
+#![allow(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "a test fails by panicking"
+)]
+
+use {
+    standin::Soak,
+    std::{path::Path, time::Duration},
+};
+
+fn soak(seed: u64, seconds: u64) {
+    let soak = Soak {
+        daemons: 5,
+        program: Path::new(env!("CARGO_BIN_EXE_anvilferryd")).to_owned(),
+        seed,
+        span: Duration::from_secs(seconds),
+    };
+    let verdict = soak.play().expect("the stand-ins work");
+    assert!(
+        verdict.broken.is_empty(),
+        "{verdict}\n{}",
+        verdict.faults.join("; ")
+    );
+}
+
+#[test]
+fn a_short_soak_breaks_nothing() {
+    soak(20_261_204, 6);
+}
+
+#[test]
+fn another_short_soak_breaks_nothing() {
+    soak(41, 6);
+}
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -21,6 +21,8 @@
 /// What came of one request.
 #[derive(Clone, Debug)]
 pub struct Attempt {
+    /// The daemon to which it was sent.
+    pub daemon: SocketAddrV4,
     /// When the caller may come back, where it was told.
     pub again: Option<Span>,
     /// The request's id.
@@ -92,8 +94,9 @@
         };
         let took = began.elapsed();
         match result {
-            Ok(response) => judge(&response, id, took),
+            Ok(response) => judge(&response, daemon, id, took),
             Err(outcome) => Attempt {
+                daemon,
                 again: None,
                 id,
                 outcome,
@@ -131,7 +134,7 @@
     }
 }
 
-fn judge(response: &Response, id: String, took: Duration) -> Attempt {
+fn judge(response: &Response, daemon: SocketAddrV4, id: String, took: Duration) -> Attempt {
     let head = read_answer(response);
     let whole = head.signed && head.id.as_deref() == Some(&id);
     let outcome = match response.status {
@@ -142,6 +145,7 @@
         _ => Outcome::Failed,
     };
     Attempt {
+        daemon,
         again: retry_after(response),
         id,
         outcome,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -6,6 +6,7 @@
         error::StandinError,
         ledger::Ledger,
         process::Process,
+        proxy::Proxy,
         sites::{SERVICE, config},
         store::Store,
         upstream::Upstream,
@@ -14,6 +15,7 @@
     nix::sys::signal::Signal,
     platform::{SETTINGS_VARIABLE, mirror::encode_settings},
     std::{
+        collections::HashMap,
         fs,
         io::{self, Read, Write},
         net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
@@ -46,6 +48,8 @@
     pub daemons: Vec<&'static str>,
     /// The program.
     pub program: PathBuf,
+    /// Whether daemons reach the store, and workers, through proxies.
+    pub proxied: bool,
     /// How long the workers' requests take.
     pub work: Duration,
     /// The data centre of each worker.
@@ -58,6 +62,7 @@
         Self {
             daemons: vec!["a", "a", "b", "b"],
             program: program.to_owned(),
+            proxied: false,
             work: Duration::from_millis(20),
             workers: vec!["a", "a", "b", "b"],
         }
@@ -80,6 +85,10 @@
     program: PathBuf,
     /// The platform's store.
     pub store: Store,
+    /// The proxies between the daemons and the store, where there are any.
+    pub store_links: Vec<Proxy>,
+    /// The proxies before the workers, where there are any, by the workers' ids.
+    pub worker_links: HashMap<Name, Proxy>,
     /// The workers.
     pub workers: Vec<Upstream>,
 }
@@ -93,13 +102,6 @@
         let store = Store::start()?;
         let ledger = Ledger::default();
         store.put_config(&config(1));
-        let mut workers = Vec::new();
-        for (at, centre) in plan.workers.iter().enumerate() {
-            let id = format!("w-{at}");
-            let worker = Upstream::start(&id, SERVICE, centre, plan.work, &ledger)?;
-            store.put_worker(&worker.entry);
-            workers.push(worker);
-        }
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("fleet-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder)?;
@@ -109,8 +111,13 @@
             ledger,
             program: plan.program.clone(),
             store,
-            workers,
+            store_links: Vec::new(),
+            worker_links: HashMap::new(),
+            workers: Vec::new(),
         };
+        for (at, centre) in plan.workers.iter().enumerate() {
+            fleet.add_worker(&format!("w-{at}"), centre, plan.work, plan.proxied)?;
+        }
         fleet.add_daemons(plan, number)?;
         for at in 0..fleet.daemons.len() {
             fleet.launch(at)?;
@@ -121,6 +128,28 @@
         Ok(fleet)
     }
 
+    /// Starts a worker and enters it in the store.
+    ///
+    /// # Errors
+    /// Fails where it can't be started.
+    pub fn add_worker(
+        &mut self,
+        id: &str,
+        centre: &str,
+        work: Duration,
+        proxied: bool,
+    ) -> Result<(), StandinError> {
+        let mut worker = Upstream::start(id, SERVICE, centre, work, &self.ledger)?;
+        if proxied {
+            let link = Proxy::start(worker.entry.address)?;
+            worker.entry.address = link.address;
+            self.worker_links.insert(worker.entry.id.clone(), link);
+        }
+        self.store.put_worker(&worker.entry);
+        self.workers.push(worker);
+        Ok(())
+    }
+
     /// Where callers reach a daemon.
     pub fn address(&self, at: usize) -> SocketAddrV4 {
         self.daemons[at].settings.listen.callers
@@ -238,7 +267,13 @@
         let base = free_ports(ip(0))?;
         for (at, centre) in plan.daemons.iter().enumerate() {
             let name = format!("front-{centre}-{at}");
-            let settings = settings(&name, centre, ip(at), base, self.store.address, ip(0));
+            let mut store = self.store.address;
+            if plan.proxied {
+                let link = Proxy::start(store)?;
+                store = link.address;
+                self.store_links.push(link);
+            }
+            let settings = settings(&name, centre, ip(at), base, store, ip(0));
             let settings_file = self.folder.join(format!("{name}.toml"));
             let text = encode_settings(&settings).map_err(io::Error::other)?;
             fs::write(&settings_file, text)?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,8 +9,10 @@
 mod load;
 mod outcome;
 mod process;
+mod proxy;
 mod server;
 mod sites;
+mod soak;
 mod store;
 mod upstream;
 
@@ -22,7 +24,9 @@
     load::{Load, Report},
     outcome::Outcome,
     process::Process,
+    proxy::{Harm, Proxy},
     sites::{READS, SERVICE, WRITES, config},
+    soak::{Soak, Verdict},
     store::{Mood, Store},
     upstream::{Fault, Upstream},
 };
--- /dev/null
+++ b/crates/standin/src/soak/judge.rs
@@ -0,0 +1,197 @@
+use {
+    crate::{ledger::Run, outcome::Outcome, sites::config, soak::callers::Seen},
+    std::{
+        collections::HashMap,
+        fmt::{self, Display, Formatter},
+        time::{Duration, Instant},
+    },
+    unit::Name,
+};
+
+/// How long after a fault bounds on how fast news travels are suspended.
+pub(crate) const SETTLE: Duration = Duration::from_secs(4);
+/// How long a worker that leaves may get work, and a little for the load of the test's own machine.
+const DRAIN: Duration = Duration::from_millis(2_300);
+/// The same for an evacuated data centre.
+const EVACUATION: Duration = Duration::from_millis(5_300);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A span of time in which something held.
+#[derive(Clone, Debug)]
+pub(crate) struct Spell<T> {
+    pub(crate) from: Instant,
+    pub(crate) to: Instant,
+    pub(crate) what: T,
+}
+
+/// What the player did and when.
+#[derive(Debug, Default)]
+pub(crate) struct History {
+    /// Daemons, by their places, that were killed, stopped or paused.
+    pub(crate) harmed: Vec<Spell<usize>>,
+    /// Workers that leave, from when the store said so.
+    pub(crate) leaving: Vec<(Name, Instant)>,
+    /// Evacuated data centres.
+    pub(crate) evacuated: Vec<Spell<&'static str>>,
+    /// Times in which bounds on how fast news travels are suspended.
+    pub(crate) unsettled: Vec<Spell<()>>,
+}
+
+/// What a soak found.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// Promises that were broken, each with what was seen.
+    pub broken: Vec<String>,
+    /// The faults, with the seconds from the start at which they began.
+    pub faults: Vec<String>,
+    /// How many requests ended in each way.
+    pub outcomes: HashMap<Outcome, usize>,
+}
+
+impl Display for Verdict {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let mut outcomes: Vec<_> = self.outcomes.iter().collect();
+        outcomes.sort();
+        write!(f, "{} faults, {outcomes:?}", self.faults.len())?;
+        for broken in &self.broken {
+            write!(f, "\n  broken: {broken}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Judges what callers and workers saw.
+pub(crate) fn judge(
+    seen: &[Seen],
+    runs: &[Run],
+    centres: &HashMap<Name, &'static str>,
+    places: &HashMap<std::net::SocketAddrV4, usize>,
+    history: &History,
+) -> Verdict {
+    let mut verdict = Verdict::default();
+    for one in seen {
+        *verdict.outcomes.entry(one.attempt.outcome).or_default() += 1;
+    }
+    verdict.broken.extend(doubled(seen, runs));
+    verdict.broken.extend(unanswered(seen, places, history));
+    verdict.broken.extend(overfed(runs));
+    verdict.broken.extend(drained(runs, history));
+    verdict.broken.extend(evacuated(runs, centres, history));
+    verdict
+}
+
+fn doubled(seen: &[Seen], runs: &[Run]) -> Vec<String> {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for run in runs {
+        *counts.entry(&run.request).or_default() += 1;
+    }
+    let mut broken = Vec::new();
+    for one in seen {
+        let id = &one.attempt.id;
+        let ran = counts.get(id.as_str()).copied().unwrap_or_default();
+        if one.write && ran > 1 {
+            broken.push(format!("{id} may run once and ran {ran} times"));
+        }
+        if one.write && ran > 0 && one.attempt.outcome == Outcome::NotRun {
+            broken.push(format!("{id} was called not run and ran"));
+        }
+        if one.attempt.outcome == Outcome::Mixed {
+            broken.push(format!("{id} got an answer that isn't its own: {one:?}"));
+        }
+    }
+    broken
+}
+
+/// Requests to daemons that nothing was done to, whose connection ended without an answer.
+fn unanswered(
+    seen: &[Seen],
+    places: &HashMap<std::net::SocketAddrV4, usize>,
+    history: &History,
+) -> Vec<String> {
+    let harmed = |one: &Seen| {
+        let end = one.began + one.attempt.took;
+        history.harmed.iter().any(|spell| {
+            places.get(&one.attempt.daemon) == Some(&spell.what)
+                && one.began <= spell.to
+                && end >= spell.from
+        })
+    };
+    seen.iter()
+        .filter(|one| one.attempt.outcome == Outcome::Unanswered && !harmed(one))
+        .map(|one| format!("{} got no answer: {one:?}", one.attempt.id))
+        .collect()
+}
+
+fn overfed(runs: &[Run]) -> Vec<String> {
+    let bound = config(0)
+        .services
+        .values()
+        .map(|service| service.cold.rate * 1.5 + 5.0)
+        .fold(0.0, f64::max);
+    let cold: Vec<&Run> = runs.iter().filter(|run| run.cold).collect();
+    let most = |run: &&Run| {
+        let second = cold.iter().filter(|other| {
+            other.worker == run.worker && other.at >= run.at && other.at - run.at < SECOND
+        });
+        second.count()
+    };
+    cold.iter()
+        .filter(|run| most(run) as f64 > bound)
+        .map(|run| {
+            format!(
+                "cold worker {} got {} requests in a second",
+                run.worker,
+                most(run)
+            )
+        })
+        .collect()
+}
+
+fn drained(runs: &[Run], history: &History) -> Vec<String> {
+    let mut broken = Vec::new();
+    for (worker, left) in &history.leaving {
+        let late = runs
+            .iter()
+            .filter(|run| run.worker == *worker && run.at > *left + DRAIN);
+        for run in late.filter(|run| settled(history, *left, run.at)) {
+            let after = run.at - *left;
+            broken.push(format!(
+                "{worker} got {} {after:?} after it left",
+                run.request
+            ));
+        }
+    }
+    broken
+}
+
+fn evacuated(
+    runs: &[Run],
+    centres: &HashMap<Name, &'static str>,
+    history: &History,
+) -> Vec<String> {
+    let mut broken = Vec::new();
+    for spell in &history.evacuated {
+        let late = runs.iter().filter(|run| {
+            centres.get(&run.worker) == Some(&spell.what)
+                && run.at > spell.from + EVACUATION
+                && run.at < spell.to
+        });
+        for run in late.filter(|run| settled(history, spell.from, run.at)) {
+            let after = run.at - spell.from;
+            let centre = spell.what;
+            broken.push(format!(
+                "{centre} got {} {after:?} after its evacuation",
+                run.request
+            ));
+        }
+    }
+    broken
+}
+
+/// Whether nothing suspended the bounds from a moment on until another.
+fn settled(history: &History, from: Instant, to: Instant) -> bool {
+    !history
+        .unsettled
+        .iter()
+        .any(|spell| spell.from <= to && from <= spell.to + SETTLE)
+}
--- /dev/null
+++ b/crates/standin/src/soak/player.rs
@@ -0,0 +1,338 @@
+use {
+    crate::{
+        error::StandinError,
+        fleet::{Fleet, Plan, wait_until},
+        outcome::Outcome,
+        proxy::Harm,
+        sites::config,
+        soak::{
+            callers::{Seen, call},
+            fault::Fault,
+            judge::{History, Spell, Verdict, judge},
+        },
+        store::Mood,
+        upstream::{Fault as WorkerFault, Upstream},
+    },
+    fastrand::Rng,
+    nix::sys::signal::Signal,
+    std::{
+        collections::HashMap,
+        net::SocketAddrV4,
+        path::PathBuf,
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            mpsc,
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+    unit::{Name, Span},
+};
+
+const CENTRES: [&str; 3] = ["a", "b", "c"];
+const CALLERS: usize = 18;
+const WORK: Duration = Duration::from_millis(20);
+/// How long a daemon that was told to stop may go on.
+const STOP: Duration = Duration::from_secs(8);
+/// How long a fleet may take to serve everything once all faults have ended.
+const RECOVERY: Duration = Duration::from_secs(15);
+const STEP: Duration = Duration::from_millis(50);
+/// The time for which callers are watched after the recovery.
+const CALM: Duration = Duration::from_secs(1);
+
+/// A soak to be played.
+#[derive(Clone, Debug)]
+pub struct Soak {
+    /// How many daemons.
+    pub daemons: usize,
+    /// The daemon's program.
+    pub program: PathBuf,
+    /// What decides the faults.
+    pub seed: u64,
+    /// How long faults begin.
+    pub span: Duration,
+}
+
+/// A fault under way.
+struct Active {
+    began: Instant,
+    ends: Instant,
+    fault: Fault,
+    /// The worker, for faults of one.
+    worker: Option<Name>,
+}
+
+struct Player {
+    active: Vec<Active>,
+    centres: HashMap<Name, &'static str>,
+    fleet: Fleet,
+    history: History,
+    next_worker: usize,
+    rng: Rng,
+    version: u64,
+}
+
+impl Soak {
+    /// Plays the soak.
+    ///
+    /// # Errors
+    /// Fails where a stand-in does, or a daemon doesn't start or stop in time.
+    pub fn play(&self) -> Result<Verdict, StandinError> {
+        let mut plan = Plan::new(&self.program);
+        plan.daemons = CENTRES.iter().copied().cycle().take(self.daemons).collect();
+        plan.workers = CENTRES.iter().copied().cycle().take(9).collect();
+        plan.proxied = true;
+        plan.work = WORK;
+        let fleet = Fleet::start(&plan)?;
+        let workers = fleet.workers.iter().zip(CENTRES.iter().cycle());
+        let mut player = Player {
+            active: Vec::new(),
+            centres: workers
+                .map(|(worker, centre)| (worker.entry.id.clone(), *centre))
+                .collect(),
+            history: History::default(),
+            next_worker: fleet.workers.len(),
+            rng: Rng::with_seed(self.seed),
+            version: 1,
+            fleet,
+        };
+        player.play(self.span)
+    }
+}
+
+impl Player {
+    fn play(&mut self, span: Duration) -> Result<Verdict, StandinError> {
+        let stop = AtomicBool::new(false);
+        let (told, seen) = mpsc::channel();
+        let size = self.fleet.size();
+        let directories: Vec<SocketAddrV4> = (0..size).map(|at| self.fleet.directory(at)).collect();
+        let mut faults = Vec::new();
+        let mut calm = Instant::now();
+        thread::scope(|scope| {
+            for at in 0..CALLERS {
+                let (told, stop, directories) = (told.clone(), &stop, &directories);
+                let centre = CENTRES[at % CENTRES.len()];
+                scope.spawn(move || call(&format!("c{at}"), centre, directories, stop, &told));
+            }
+            let result = self.harm(span, &mut faults).and_then(|()| self.heal());
+            calm = Instant::now();
+            thread::sleep(CALM);
+            stop.store(true, Ordering::Relaxed);
+            result
+        })?;
+        drop(told);
+        let seen: Vec<Seen> = seen.iter().collect();
+        let places = (0..size).map(|at| (self.fleet.address(at), at)).collect();
+        let runs = self.fleet.ledger.runs();
+        let mut verdict = judge(&seen, &runs, &self.centres, &places, &self.history);
+        let unserved = seen
+            .iter()
+            .filter(|one| one.began > calm && one.attempt.outcome != Outcome::Served);
+        verdict
+            .broken
+            .extend(unserved.map(|one| format!("not served after the recovery: {one:?}")));
+        verdict.faults = faults;
+        Ok(verdict)
+    }
+
+    fn harm(&mut self, span: Duration, faults: &mut Vec<String>) -> Result<(), StandinError> {
+        let began = Instant::now();
+        let mut next = began;
+        while began.elapsed() < span {
+            if Instant::now() >= next {
+                let fault = Fault::draw(&mut self.rng);
+                let length = Duration::from_millis(self.rng.u64(200..2_500));
+                faults.push(format!("{:.2} {fault:?}", began.elapsed().as_secs_f64()));
+                self.begin(fault, length)?;
+                next += Duration::from_millis(self.rng.u64(50..900));
+            }
+            self.end_due()?;
+            thread::sleep(STEP);
+        }
+        Ok(())
+    }
+
+    /// Ends all faults, and waits until everything is served.
+    fn heal(&mut self) -> Result<(), StandinError> {
+        for active in std::mem::take(&mut self.active) {
+            self.end(&active)?;
+        }
+        for at in 0..self.fleet.size() {
+            self.fleet.wait_ready(at)?;
+        }
+        let fleet = &self.fleet;
+        let mut caller = crate::caller::Caller::new("heal", Span::secs(1));
+        let mut well = 0;
+        wait_until("everything is served again", RECOVERY, || {
+            let at = well % fleet.size();
+            let served = ["GET", "POST"].iter().all(|method| {
+                let path = if *method == "GET" {
+                    "/pictures/1"
+                } else {
+                    "/payouts/1"
+                };
+                fleet.ask(&mut caller, at, method, path).outcome == Outcome::Served
+            });
+            well = if served { well + 1 } else { 0 };
+            well >= 4 * fleet.size()
+        })
+    }
+
+    fn begin(&mut self, fault: Fault, length: Duration) -> Result<(), StandinError> {
+        let began = Instant::now();
+        let size = self.fleet.size();
+        let worker = self.worker_of(fault);
+        match fault {
+            Fault::Compact => self.fleet.store.compact(),
+            Fault::Config => {
+                self.version += 1;
+                self.fleet.store.put_config(&config(self.version));
+            }
+            Fault::Evacuate(at) => self.fleet.store.evacuate(CENTRES[at % CENTRES.len()]),
+            Fault::Kill(at) if self.whole(at % size) => self.fleet.kill(at % size),
+            Fault::LoseAnswers => self.fleet.store.lose_answers(2),
+            Fault::Pause(at) if self.whole(at % size) => {
+                self.fleet.signal(at % size, Signal::SIGSTOP)?;
+            }
+            Fault::Reload(at) if self.whole(at % size) => {
+                self.fleet.signal(at % size, Signal::SIGHUP)?;
+            }
+            Fault::Store(mood) => self.fleet.store.set_mood(mood),
+            Fault::StoreLink(at, harm) => self.fleet.store_links[at % size].set(harm),
+            Fault::Term(at) if self.whole(at % size) => {
+                self.fleet.signal(at % size, Signal::SIGTERM)?;
+            }
+            Fault::Kill(_) | Fault::Pause(_) | Fault::Reload(_) | Fault::Term(_) => return Ok(()),
+            Fault::Worker(at, fault) => self.worker(at).set_fault(fault),
+            Fault::WorkerCold(at) => self.worker(at).chill(length),
+            Fault::WorkerDies(at) => self.replace(at, false)?,
+            Fault::WorkerLeaves(at) => self.replace(at, true)?,
+            Fault::WorkerLink(at, harm) => {
+                if let Some(link) = self.fleet.worker_links.get(&self.worker(at).entry.id) {
+                    link.set(harm);
+                }
+            }
+            Fault::WorkerSlow(at) => self.worker(at).set_pace(500),
+        }
+        self.active.push(Active {
+            began,
+            ends: began + length,
+            fault,
+            worker,
+        });
+        Ok(())
+    }
+
+    fn end_due(&mut self) -> Result<(), StandinError> {
+        let now = Instant::now();
+        while let Some(at) = self.active.iter().position(|active| active.ends <= now) {
+            let active = self.active.remove(at);
+            self.end(&active)?;
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, active: &Active) -> Result<(), StandinError> {
+        let size = self.fleet.size();
+        match active.fault {
+            Fault::Evacuate(at) => {
+                let centre = CENTRES[at % CENTRES.len()];
+                self.fleet.store.take_back(centre);
+                self.history.evacuated.push(spell(active, centre));
+            }
+            Fault::Kill(at) => {
+                self.fleet.launch(at % size)?;
+                self.history.harmed.push(spell(active, at % size));
+            }
+            Fault::Pause(at) => {
+                self.fleet.signal(at % size, Signal::SIGCONT)?;
+                self.history.harmed.push(spell(active, at % size));
+            }
+            Fault::Store(_) => self.fleet.store.set_mood(Mood::Well),
+            Fault::StoreLink(at, _) => self.fleet.store_links[at % size].set(Harm::None),
+            Fault::Term(at) => {
+                self.fleet.wait_stopped(at % size, STOP)?;
+                self.fleet.launch(at % size)?;
+            }
+            Fault::Worker(..) | Fault::WorkerLink(..) | Fault::WorkerSlow(_) => {
+                self.mend(active.worker.as_ref());
+            }
+            Fault::Compact
+            | Fault::Config
+            | Fault::LoseAnswers
+            | Fault::Reload(_)
+            | Fault::WorkerCold(_)
+            | Fault::WorkerDies(_)
+            | Fault::WorkerLeaves(_) => {}
+        }
+        if active.fault.unsettles() {
+            self.history.unsettled.push(spell(active, ()));
+        }
+        Ok(())
+    }
+
+    /// Whether nothing is being done to a daemon's process.
+    fn whole(&self, daemon: usize) -> bool {
+        let size = self.fleet.size();
+        !self.active.iter().any(|active| match active.fault {
+            Fault::Kill(at) | Fault::Pause(at) | Fault::Term(at) => at % size == daemon,
+            _ => false,
+        })
+    }
+
+    fn worker(&self, at: usize) -> &Upstream {
+        &self.fleet.workers[at % self.fleet.workers.len()]
+    }
+
+    fn worker_of(&self, fault: Fault) -> Option<Name> {
+        match fault {
+            Fault::Worker(at, _) | Fault::WorkerLink(at, _) | Fault::WorkerSlow(at) => {
+                Some(self.worker(at).entry.id.clone())
+            }
+            _ => None,
+        }
+    }
+
+    /// Makes a worker well, where it is still there.
+    fn mend(&self, id: Option<&Name>) {
+        let same = |worker: &&Upstream| Some(&worker.entry.id) == id;
+        if let Some(worker) = self.fleet.workers.iter().find(same) {
+            worker.set_fault(WorkerFault::None);
+            worker.set_pace(100);
+        }
+        if let Some(link) = id.and_then(|id| self.fleet.worker_links.get(id)) {
+            link.set(Harm::None);
+        }
+    }
+
+    /// Puts a new worker in the place of one that dies, or that leaves and is then kept until the
+    /// end, so that late requests to it are seen.
+    fn replace(&mut self, at: usize, leaves: bool) -> Result<(), StandinError> {
+        let at = at % self.fleet.workers.len();
+        let id = format!("w-{}", self.next_worker);
+        self.next_worker += 1;
+        let centre = self.centres[&self.fleet.workers[at].entry.id];
+        self.fleet.add_worker(&id, centre, WORK, true)?;
+        self.centres.insert(id.as_str().into(), centre);
+        let old = &self.fleet.workers[at];
+        let old_id = old.entry.id.clone();
+        if leaves {
+            self.fleet.store.put_worker(&old.draining());
+            self.history.leaving.push((old_id, Instant::now()));
+            // It stays in the list of workers, where faults may still befall it.
+            return Ok(());
+        }
+        self.fleet.store.remove_worker(&old_id);
+        self.fleet.worker_links.remove(&old_id);
+        self.fleet.workers.remove(at);
+        Ok(())
+    }
+}
+
+fn spell<T>(active: &Active, what: T) -> Spell<T> {
+    Spell {
+        from: active.began,
+        to: Instant::now(),
+        what,
+    }
+}
