--- a/crates/call/src/action.rs
+++ b/crates/call/src/action.rs
@@ -18,6 +18,8 @@
 /// What the process does for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
+    /// Wait no longer for the answer to a question. It may still come, and is told then.
+    Abandon(LinkId),
     /// Ask a worker's health endpoint on a connection that is then kept for the request.
     Ask {
         /// The use of the connection.
--- a/crates/call/src/desk.rs
+++ b/crates/call/src/desk.rs
@@ -108,6 +108,7 @@
             Event::Gone(call) => self.gone(call),
             Event::Opened(link, result) => self.opened(now, link, result),
             Event::Tick => self.tick(now),
+            Event::Told(worker, health) => self.table.health(worker, now, &health),
         }
         std::mem::take(&mut self.actions)
     }
@@ -732,7 +733,8 @@
             return;
         }
         if let Some(ask) = call.ask.take_if(|ask| now >= ask.until) {
-            self.drop_link(ask.link);
+            self.links.remove(&ask.link);
+            self.actions.push(Action::Abandon(ask.link));
             self.table.strike(ask.worker, now);
             self.passed(now, id, ask.worker, Some(AskFailure::Late), None);
             self.search(now, id);
--- a/crates/call/src/event.rs
+++ b/crates/call/src/event.rs
@@ -3,6 +3,7 @@
         CallId, LinkId,
         answer::{AskFailure, Told},
     },
+    pick::Key,
     site::{Health, Route},
     std::sync::Arc,
     unit::Span,
@@ -34,4 +35,6 @@
     Opened(LinkId, Result<(), AskFailure>),
     /// Time passed.
     Tick,
+    /// A worker told of itself after nobody waited for it any more.
+    Told(Key, Health),
 }
--- a/crates/call/tests/desk/chaos.rs
+++ b/crates/call/tests/desk/chaos.rs
@@ -149,6 +149,10 @@
                     assert_eq!(self.links.insert(link, Use::Opening), None);
                 }
                 Action::Release(link) => assert_eq!(self.links.remove(&link), Some(Use::Held)),
+                Action::Abandon(link) => {
+                    let state = self.links.remove(&link);
+                    assert!(matches!(state, Some(Use::Asking | Use::Opening)));
+                }
                 Action::Close(link) => {
                     // The connection of an answer that was kept in reserve is free already.
                     self.links.remove(&link);
--- a/crates/call/tests/desk/sending.rs
+++ b/crates/call/tests/desk/sending.rs
@@ -61,7 +61,7 @@
     scene.begin(&Arc::new(route("r", Kind::Idempotent)));
     let first = scene.ask();
     scene.pass(Span::millis(40));
-    assert_eq!(scene.take(), Action::Close(first));
+    assert_eq!(scene.take(), Action::Abandon(first));
     let second = scene.ask();
     assert_ne!(scene.name(first), scene.name(second));
     // An answer that comes after all is of no use.
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -29,6 +29,7 @@
 impl Daemon {
     pub(crate) fn carry_out(&mut self, now: Time, action: Action) {
         match action {
+            Action::Abandon(link) => self.abandon_ask(now, link),
             Action::Ask { link, worker } => self.ask(now, link, worker),
             Action::Close(link) => self.close_link(link),
             Action::Forward(call, link) => self.forward(now, call, link),
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -14,6 +14,8 @@
     wire::{Ending, Limits, Response, ResponseReader},
 };
 
+/// How long a question may be open that nobody waits for any more.
+const ABANDONED: Span = Span::secs(2);
 /// How long ago bytes may have gone over a connection that is used without a question first.
 const SURELY_ALIVE: Span = Span::secs(1);
 
@@ -36,6 +38,8 @@
 
 #[derive(Debug)]
 enum Phase {
+    /// The worker was asked, and nobody waits for the answer any more.
+    Abandoned,
     /// The worker is asked for room.
     Asking(LinkId),
     /// The worker has told; the desk decides.
@@ -150,6 +154,26 @@
         }
     }
 
+    /// Leaves a connection to its question: a worker without room answers late on a new connection,
+    /// which is then good for the next question.
+    pub(crate) fn abandon_ask(&mut self, now: Time, link: LinkId) {
+        let Some(Link::Conn(place)) = self.links.remove(&link) else {
+            return;
+        };
+        let Some(conn) = self.conns.get_mut(place) else {
+            return;
+        };
+        match &mut conn.kind {
+            Kind::Worker(worker)
+                if conn.channel.connected && matches!(worker.phase, Phase::Asking(_)) =>
+            {
+                worker.phase = Phase::Abandoned;
+                self.set_due(place, now + ABANDONED);
+            }
+            _ => self.drop_worker(place),
+        }
+    }
+
     /// Makes a connection free for other requests.
     pub(crate) fn release_link(&mut self, now: Time, link: LinkId) {
         if let Some(Link::Conn(place)) = self.links.remove(&link) {
@@ -184,7 +208,12 @@
             return;
         };
         let left = WORKER_IDLE.less(conn.channel.idle(now));
-        if matches!(worker.phase, Phase::Idle) && left == Span::ZERO {
+        let useless = match worker.phase {
+            Phase::Abandoned => true,
+            Phase::Idle => left == Span::ZERO,
+            Phase::Asking(_) | Phase::Held(_) | Phase::Sent { .. } => false,
+        };
+        if useless {
             self.drop_worker(place);
         } else {
             self.set_due(place, now + left.max(Span::secs(1)));
@@ -285,7 +314,7 @@
                     self.replace_held(now, place);
                     return;
                 }
-                Phase::Asking(_) | Phase::Sent { .. } => {}
+                Phase::Abandoned | Phase::Asking(_) | Phase::Sent { .. } => {}
             }
             match worker.reader.take(head) {
                 Ok(Some(response)) => self.worker_response(now, place, response),
@@ -304,6 +333,11 @@
             return;
         };
         match &worker.phase {
+            Phase::Abandoned if answer.id.is_none() => {
+                let health = read_health(&response);
+                self.told(now, place, health, response.last);
+            }
+            Phase::Abandoned => {}
             Phase::Asking(link) => {
                 let link = *link;
                 // An answer with an id is a late one to an earlier request.
@@ -326,6 +360,22 @@
         }
     }
 
+    fn told(&mut self, now: Time, place: usize, health: Health, last: bool) {
+        let Some(worker) = self.worker(place) else {
+            return;
+        };
+        let key = worker.worker;
+        if last {
+            self.drop_worker(place);
+        } else {
+            self.free_worker(now, place);
+        }
+        let meant = self.desk.table.get(key).map(|belief| &belief.worker.id);
+        if health.id.as_ref() == meant {
+            self.decide(now, Event::Told(key, health));
+        }
+    }
+
     fn asked(&mut self, now: Time, place: usize, link: LinkId, health: Health, last: bool) {
         if let Some(worker) = self.worker(place) {
             worker.phase = Phase::Held(link);
@@ -375,7 +425,7 @@
         };
         let (reused, rest) = (worker.reused, worker.reader.finish(ending));
         match worker.phase {
-            Phase::Idle => self.drop_worker(place),
+            Phase::Abandoned | Phase::Idle => self.drop_worker(place),
             Phase::Held(_) => self.replace_held(now, place),
             Phase::Asking(link) if reused => {
                 // The worker closed the idle connection; that says nothing of the worker.
@@ -428,7 +478,7 @@
                 let told = Told { answer, load: None };
                 self.decide(now, Event::Answered(link, told));
             }
-            Phase::Held(_) | Phase::Idle => self.drop_worker(place),
+            Phase::Abandoned | Phase::Held(_) | Phase::Idle => self.drop_worker(place),
         }
     }
 
