--- a/crates/pick/src/belief.rs
+++ b/crates/pick/src/belief.rs
@@ -149,6 +149,11 @@
         self.slowness.powf(0.5_f64.powf(age / SLOWNESS_HALF_LIFE))
     }
 
+    /// Whether it could not be reached lately.
+    pub(crate) fn unreachable(&self, now: Time) -> bool {
+        now < self.suspect
+    }
+
     /// Whether it was found slow or full within the last `span`.
     pub(crate) fn bad_news(&self, now: Time, span: Span) -> bool {
         self.load(now).is_some_and(|(load, age)| {
--- a/crates/pick/src/table.rs
+++ b/crates/pick/src/table.rs
@@ -170,13 +170,19 @@
     pub fn next(&self, now: Time, wanted: &Wanted<'_>, rng: &mut Rng) -> Option<Choice> {
         let keys = self.services.get(wanted.service)?;
         let try_new = rng.u32(..TRY_NEW_ONE_IN) == 0;
+        let sound = keys
+            .iter()
+            .any(|key| self.standing(*key, now) == Standing::Usable);
         let mut best: Option<(Choice, (u32, f64))> = None;
         for key in keys.iter().filter(|key| !wanted.skip.contains(key)) {
             let Some(belief) = self.beliefs.get(key) else {
                 continue;
             };
             let standing = self.standing(*key, now);
-            if standing == Standing::Barred || (wanted.patient && belief.bad_news(now, RECHECK)) {
+            // Where others can be reached, one that just could not is not worth a question.
+            let useless = (sound && belief.unreachable(now))
+                || (wanted.patient && belief.bad_news(now, RECHECK));
+            if standing == Standing::Barred || useless {
                 continue;
             }
             let near = belief.worker.centre == self.centre;
