--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -5,10 +5,13 @@
 mod answer;
 mod call;
 mod desk;
+mod ending;
 mod event;
 mod id;
 mod note;
 mod policy;
+mod search;
+mod sending;
 mod split;
 
 pub use {
--- /dev/null
+++ b/crates/call/src/search.rs
@@ -0,0 +1,349 @@
+//! How a request finds a worker.
+
+use {
+    crate::{
+        Action, AskFailure, CallId, LinkId, Step,
+        call::{Ask, Call, Offer, Search},
+        desk::Desk,
+    },
+    pick::{Key, Standing, Table, Wanted},
+    site::{Health, Load},
+    std::cmp::Reverse,
+    unit::{Span, Time},
+};
+
+/// Requests beyond its slots that a worker gets from requests of the highest rank.
+const URGENT_QUEUE: u32 = 2;
+/// How long a worker that was warm is taken for warm without being asked.
+const WARM_FOR: Span = Span::millis(500);
+/// The part of what is left of the objective within which an answer must be expected for a worker
+/// to be taken at once.
+const FIT: f64 = 0.9;
+/// How many times the typical work must still fit into the objective while a request waits for a
+/// better worker.
+const WAIT_MARGIN: f64 = 1.4;
+
+impl Desk {
+    /// Asks the next worker, or settles where enough were asked.
+    pub(crate) fn search(&mut self, now: Time, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        if call.asked.len() >= self.policy.asks {
+            self.settle(now, id);
+            return;
+        }
+        let mut skip = [&call.asked[..], &call.tried[..]].concat();
+        let (excluded, asked) = (call.tried.len(), skip.len());
+        let call = call.clone();
+        let patient = call.waited && self.may_wait(now, &call);
+        let service = call.service.clone();
+        let bound = self.policy.bounds.probes;
+        loop {
+            let wanted = Wanted {
+                patient,
+                skip: &skip,
+                service: &service,
+            };
+            let Some(choice) = self.table.next(now, &wanted, &mut self.rng) else {
+                if skip.len() == excluded && !patient {
+                    // There is no worker to wait for.
+                    self.give_up(now, id);
+                } else if skip.len() > asked {
+                    self.choose_unasked(now, id);
+                } else {
+                    self.settle(now, id);
+                }
+                return;
+            };
+            // Workers that failed or leave are asked only where nothing better was found.
+            let held = self.calls.get(&id).is_some_and(|call| call.offer.is_some());
+            if held && choice.standing >= Standing::Suspect {
+                self.settle(now, id);
+                return;
+            }
+            if self.table.take_probe(choice.key, now, bound) {
+                self.ask(now, id, choice.key);
+                return;
+            }
+            skip.push(choice.key);
+        }
+    }
+
+    pub(crate) fn ask(&mut self, now: Time, id: CallId, worker: Key) {
+        let until = now + self.policy.ask_time;
+        if let Some(link) = self.begin_ask(id, worker, until) {
+            self.actions.push(Action::Ask { link, worker });
+        }
+    }
+
+    pub(crate) fn begin_ask(&mut self, id: CallId, worker: Key, until: Time) -> Option<LinkId> {
+        let call = self.calls.get_mut(&id)?;
+        let link = LinkId(self.next_link);
+        self.next_link += 1;
+        call.asked.push(worker);
+        call.ask = Some(Ask {
+            link,
+            until,
+            worker,
+        });
+        self.links.insert(link, id);
+        self.timers.push(Reverse((until, id)));
+        Some(link)
+    }
+
+    /// Where the health requests that the daemon may make are spent, goes by what is known of the
+    /// workers. This answers load of more requests a worker and second than those.
+    pub(crate) fn choose_unasked(&mut self, now: Time, id: CallId) {
+        let Some(call) = self.calls.get(&id).cloned() else {
+            return;
+        };
+        if call.offer.is_some() {
+            self.settle(now, id);
+            return;
+        }
+        let mut skip = [&call.asked[..], &call.tried[..]].concat();
+        loop {
+            let wanted = Wanted {
+                patient: false,
+                skip: &skip,
+                service: &call.service,
+            };
+            let choice = self.table.next(now, &wanted, &mut self.rng);
+            let Some(choice) = choice.filter(|choice| choice.standing <= Standing::Suspect) else {
+                self.settle(now, id);
+                return;
+            };
+            if self.seems_free(now, &call, choice.key, choice.standing) {
+                self.open(now, id, choice.key);
+                return;
+            }
+            skip.push(choice.key);
+        }
+    }
+
+    /// Whether a worker has room as far as is known, and may get work without being asked.
+    pub(crate) fn seems_free(
+        &mut self,
+        now: Time,
+        call: &Call,
+        worker: Key,
+        standing: Standing,
+    ) -> bool {
+        let Some(belief) = self.table.get(worker) else {
+            return false;
+        };
+        let load = belief.load(now);
+        let room = load.is_none_or(|(load, _)| self.has_room(call, load));
+        let heard = load.is_some_and(|(_, age)| age < WARM_FOR);
+        let warm = heard && !belief.is_cold(now);
+        // One that failed must at least have answered just now.
+        let sound = standing == Standing::Usable || heard;
+        room && sound && (warm || self.admits_cold(now, call, worker))
+    }
+
+    pub(crate) fn open(&mut self, now: Time, id: CallId, worker: Key) {
+        let until = now + self.policy.ask_time;
+        let Some(link) = self.begin_ask(id, worker, until) else {
+            return;
+        };
+        self.actions.push(Action::Open { link, worker });
+    }
+
+    pub(crate) fn opened(&mut self, now: Time, link: LinkId, result: Result<(), AskFailure>) {
+        let Some(id) = self.links.get(&link).copied() else {
+            return;
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(ask) = call.ask.take_if(|ask| ask.link == link) else {
+            return;
+        };
+        if let Err(failure) = result {
+            self.links.remove(&link);
+            self.passed(now, id, ask.worker, Some(failure), None);
+            self.search(now, id);
+            return;
+        }
+        let call = call.clone();
+        let work = *self.work(&call);
+        let Some(belief) = self.table.get(ask.worker) else {
+            self.drop_link(link);
+            self.search(now, id);
+            return;
+        };
+        let offer = Offer {
+            cold: belief.is_cold(now),
+            expected: belief.expected(now, &work),
+            link,
+            load: belief.load(now).map(|(load, _)| load),
+            worker: ask.worker,
+        };
+        self.send(now, id, offer);
+    }
+
+    pub(crate) fn asked(&mut self, now: Time, link: LinkId, health: Result<Health, AskFailure>) {
+        let Some(id) = self.links.get(&link).copied() else {
+            return;
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(ask) = call.ask.take_if(|ask| ask.link == link) else {
+            return;
+        };
+        match health {
+            Ok(health) => self.room(now, id, ask, &health),
+            Err(failure) => {
+                self.links.remove(&link);
+                if failure != AskFailure::NoConnection {
+                    self.table.strike(ask.worker, now);
+                }
+                self.passed(now, id, ask.worker, Some(failure), None);
+                self.search(now, id);
+            }
+        }
+    }
+
+    /// Weighs what a worker said of itself.
+    pub(crate) fn room(&mut self, now: Time, id: CallId, ask: Ask, health: &Health) {
+        let Some(belief) = self.table.get(ask.worker) else {
+            self.drop_link(ask.link);
+            self.search(now, id);
+            return;
+        };
+        if health.id.as_ref().is_some_and(|id| *id != belief.worker.id) {
+            self.table.misdirected(ask.worker, now);
+            self.drop_link(ask.link);
+            self.passed(now, id, ask.worker, None, health.load);
+            self.search(now, id);
+            return;
+        }
+        self.table.health(ask.worker, now, health);
+        let Some(offer) = self.offer(now, id, ask, health) else {
+            self.release(ask.link);
+            self.passed(now, id, ask.worker, None, health.load);
+            self.search(now, id);
+            return;
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let good = offer.expected <= call.left(now).scale(FIT) && health.healthy;
+        let worse = call.offer.replace(offer).map(|old| {
+            if old.expected <= offer.expected {
+                (old, offer)
+            } else {
+                (offer, old)
+            }
+        });
+        if let Some((better, worse)) = worse {
+            call.offer = Some(better);
+            self.release(worse.link);
+            self.passed(now, id, worse.worker, None, worse.load);
+        }
+        if good {
+            self.settle(now, id);
+        } else {
+            self.search(now, id);
+        }
+    }
+
+    /// What the worker offers; `None` where the request may not go there.
+    pub(crate) fn offer(
+        &mut self,
+        now: Time,
+        id: CallId,
+        ask: Ask,
+        health: &Health,
+    ) -> Option<Offer> {
+        let call = self.calls.get(&id)?.clone();
+        if self.table.standing(ask.worker, now) == Standing::Barred {
+            return None;
+        }
+        if let Some(load) = health.load
+            && !self.has_room(&call, load)
+        {
+            return None;
+        }
+        let cold = health.cold > Span::ZERO;
+        if cold && !self.admits_cold(now, &call, ask.worker) {
+            return None;
+        }
+        let work = *self.work(&call);
+        let belief = self.table.get(ask.worker)?;
+        Some(Offer {
+            cold,
+            expected: belief.expected(now, &work),
+            link: ask.link,
+            load: health.load,
+            worker: ask.worker,
+        })
+    }
+
+    /// Requests of the highest rank may wait at a worker, others need a free slot. Under more load
+    /// than the workers bear, this serves the higher rank first.
+    pub(crate) fn has_room(&self, call: &Call, load: Load) -> bool {
+        let queue = if self.urgent(call) { URGENT_QUEUE } else { 0 };
+        load.running + load.waiting < load.slots + queue.min(load.slots)
+    }
+
+    pub(crate) fn urgent(&self, call: &Call) -> bool {
+        let routes = self.config.hosts.values().flatten();
+        let mut same = routes.filter(|route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| target.service == call.service)
+        });
+        same.all(|route| route.priority >= call.route.priority)
+    }
+
+    pub(crate) fn admits_cold(&mut self, now: Time, call: &Call, worker: Key) -> bool {
+        let Some(service) = self.config.services.get(&call.service) else {
+            return false;
+        };
+        let bounds = &self.policy.bounds;
+        let bound = Table::cold_bound(service, bounds.cold_factor, bounds.cold_slack);
+        self.table.admits_cold(worker, now, bound)
+    }
+
+    /// Takes the best offer, waits for a better one, or gives up.
+    pub(crate) fn settle(&mut self, now: Time, id: CallId) {
+        let Some(call) = self.calls.get(&id).cloned() else {
+            return;
+        };
+        let may_wait = self.may_wait(now, &call);
+        match call.offer {
+            Some(offer) if offer.expected <= call.left(now) || !may_wait => {
+                self.send(now, id, offer);
+            }
+            _ if call.search == Search::Hedge => self.stop_hedge(now, id),
+            _ if may_wait => self.pause(now, id),
+            Some(offer) => self.send(now, id, offer),
+            None => self.give_up(now, id),
+        }
+    }
+
+    /// Whether the objective can still be met after another pause.
+    pub(crate) fn may_wait(&mut self, now: Time, call: &Call) -> bool {
+        let usual = self.work(call).usual();
+        call.left(now) > usual.scale(WAIT_MARGIN) + self.policy.pause
+    }
+
+    pub(crate) fn pause(&mut self, now: Time, id: CallId) {
+        let jitter = 0.5 + self.rng.f64();
+        let span = self.policy.pause.scale(jitter);
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.asked.clear();
+        call.pause = Some(now + span);
+        call.waited = true;
+        let offer = call.offer.take();
+        self.timers.push(Reverse((now + span, id)));
+        self.note(now, id, Step::Waits(span));
+        if let Some(offer) = offer {
+            self.release(offer.link);
+        }
+    }
+}
--- a/crates/conf/src/bounds.rs
+++ b/crates/conf/src/bounds.rs
@@ -21,6 +21,4 @@
     pub retry_ratio: f64,
     /// The length of the window; never zero.
     pub retry_window: Span,
-    /// How long after its end a disturbance still counts.
-    pub stable: Span,
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -17,8 +17,6 @@
     pub ip: Ipv4Addr,
     /// Where it listens.
     pub listen: Listen,
-    /// The most memory, in bytes.
-    pub memory: u64,
     /// Its name, unique in the fleet.
     pub name: Name,
     /// The first and the last port for traffic between daemons.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! actions that they answer with.
 
 mod admin;
+mod answers;
 mod arguments;
 mod callers;
 mod channel;
@@ -20,6 +21,8 @@
 mod metrics;
 mod options;
 mod platform_io;
+mod pool;
+mod readiness;
 mod requests;
 mod run;
 mod shutdown;
--- /dev/null
+++ b/crates/peer/src/duties.rs
@@ -0,0 +1,89 @@
+//! What falls to this daemon of the work that the fleet shares.
+
+use {
+    crate::{Member, Own, Roster, Stage, Watch},
+    unit::{Name, Span, Time, rank},
+};
+
+/// The age from which on a daemon's knowledge of the site is too old to rely on the watchers.
+const STALE: Span = Span::millis(1_000);
+/// How long a daemon that isn't the first of its data centre waits for word from others before it
+/// turns to the store itself.
+const SETTLE: Span = Span::millis(300);
+/// How long a daemon is silent before its entry is taken away.
+const RETIRE: Span = Span::secs(600);
+
+impl Roster {
+    /// The daemons that are gone for good, where this daemon is the one to say so: it hears most of
+    /// the others, and comes first among those of its data centre that live.
+    pub fn retired(&self, now: Time) -> Vec<Name> {
+        let most = (self.count_alive(now) + 1) * 2 > self.members.len() + 1;
+        if !most || !self.first_of(|member| self.alive(member, now)) {
+            return Vec::new();
+        }
+        let silent = |member: &Member| now.since(member.heard.unwrap_or(member.entered));
+        self.members
+            .iter()
+            .filter(|(_, member)| silent(member) >= RETIRE)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Whether this daemon has heard no other for so long that others may take it for gone.
+    pub fn forsaken(&self, now: Time) -> bool {
+        let silent = |member: &Member| now.since(member.heard.unwrap_or(member.entered));
+        !self.members.is_empty()
+            && self
+                .members
+                .values()
+                .all(|member| silent(member) >= RETIRE / 2)
+    }
+
+    /// Whether this daemon is to watch the store: it is the first of its data centre that the store
+    /// doesn't fail, or what it knows is too old. Right after its start, when it can't know who lives,
+    /// it is the first of all that are registered there. One that the store fails goes on trying only where
+    /// it is the first of all in its data centre, so that an outage costs few calls.
+    pub fn must_watch(&self, now: Time, own: &Own) -> bool {
+        if own.stage == Stage::Leaving {
+            return false;
+        }
+        let failing = own.watch == Watch::Failing;
+        if now.since(self.began) < SETTLE {
+            return self.listed && self.first_of(|_| true);
+        }
+        if !failing && self.age(now, own) >= STALE {
+            return true;
+        }
+        self.first_of(|member| {
+            self.alive(member, now)
+                && member.stage != Stage::Leaving
+                && (failing || member.watch != Watch::Failing)
+        })
+    }
+
+    /// Whether this daemon comes before all others of its data centre of some kind, in an order that
+    /// all compute alike.
+    pub(crate) fn first_of(&self, kind: impl Fn(&Member) -> bool) -> bool {
+        const ORDER: &str = "watch";
+        let own = (rank(ORDER, &self.name), &self.name);
+        !self
+            .members
+            .iter()
+            .filter(|(_, member)| member.centre == self.centre && kind(member))
+            .any(|(name, _)| (rank(ORDER, name), name) < own)
+    }
+
+    /// How old this daemon's knowledge of the site is.
+    pub fn age(&self, now: Time, own: &Own) -> Span {
+        if own.watch == Watch::Live {
+            return Span::ZERO;
+        }
+        let told = self
+            .members
+            .values()
+            .filter(|member| !member.revs.ahead(&own.revs))
+            .filter_map(|member| member.age)
+            .map(|(age, at)| age + now.since(at));
+        told.min().unwrap_or(now.since(self.began))
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,10 +4,12 @@
 
 mod beat;
 mod codec;
+mod duties;
 mod error;
 mod fetch;
 mod member;
 mod roster;
+mod sending;
 mod stage;
 
 pub use {
--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{Beat, Contact, Member, Row, Stage, Watch},
+    crate::{Beat, Member, Row, Stage, Watch},
     fastrand::Rng,
     site::Revs,
     std::net::Ipv4Addr,
@@ -14,24 +14,8 @@
 const ALIVE_FAR: Span = Span::millis(4_000);
 /// How long this process may stand still before what it heard counts as fresh again.
 const STALL: Span = Span::millis(600);
-/// Daemons of the own data centre that get each heartbeat.
-const FANOUT: usize = 5;
-/// Heartbeats a second from all daemons of one data centre to each other data centre. Bytes between
-/// data centres are dear, so their number doesn't grow with the fleet.
-const FAR_RATE: f64 = 5.0;
-/// One heartbeat in so many goes to a daemon that isn't known to be alive.
-const SEEK_ONE_IN: usize = 4;
-/// The age from which on a daemon's knowledge of the site is too old to rely on the watchers.
-const STALE: Span = Span::millis(1_000);
-/// How long a daemon is silent before its entry is taken away.
-const RETIRE: Span = Span::secs(600);
-/// Daemons of which a new one is told at most, so that the message stays one datagram.
-const MAX_CONTACTS: usize = 24;
 /// Heartbeats by which one may be late and still count; others may have told of newer ones.
 const REORDER: u32 = 5;
-/// How long a daemon that isn't the first of its data centre waits for word from others before it
-/// turns to the store itself.
-const SETTLE: Span = Span::millis(300);
 
 /// What this daemon says of itself.
 #[derive(Clone, Copy, Debug)]
@@ -56,22 +40,22 @@
 /// The daemons of the fleet.
 #[derive(Debug)]
 pub struct Roster {
-    began: Time,
-    centre: Name,
-    count: u32,
-    ip: Ipv4Addr,
-    life: u32,
+    pub(crate) began: Time,
+    pub(crate) centre: Name,
+    pub(crate) count: u32,
+    pub(crate) ip: Ipv4Addr,
+    pub(crate) life: u32,
     /// Whether the daemons that are registered are all known.
-    listed: bool,
-    members: Map<Name, Member>,
-    name: Name,
-    rng: Rng,
+    pub(crate) listed: bool,
+    pub(crate) members: Map<Name, Member>,
+    pub(crate) name: Name,
+    pub(crate) rng: Rng,
     /// Addresses that may belong to daemons of which nothing else is known.
-    seeds: Vec<Ipv4Addr>,
+    pub(crate) seeds: Vec<Ipv4Addr>,
     /// Whether another daemon told of one that isn't known here.
-    seeks: bool,
+    pub(crate) seeks: bool,
     /// The last heartbeat of this daemon.
-    ticked: Time,
+    pub(crate) ticked: Time,
 }
 
 impl Roster {
@@ -147,79 +131,6 @@
             .retain(|name, _| registered.contains(name) || alive.contains(name));
     }
 
-    /// The daemons that are gone for good, where this daemon is the one to say so: it hears most of
-    /// the others, and comes first among those of its data centre that live.
-    pub fn retired(&self, now: Time) -> Vec<Name> {
-        let most = (self.count_alive(now) + 1) * 2 > self.members.len() + 1;
-        if !most || !self.first_of(|member| self.alive(member, now)) {
-            return Vec::new();
-        }
-        let silent = |member: &Member| now.since(member.heard.unwrap_or(member.entered));
-        self.members
-            .iter()
-            .filter(|(_, member)| silent(member) >= RETIRE)
-            .map(|(name, _)| name.clone())
-            .collect()
-    }
-
-    /// Whether this daemon has heard no other for so long that others may take it for gone.
-    pub fn forsaken(&self, now: Time) -> bool {
-        let silent = |member: &Member| now.since(member.heard.unwrap_or(member.entered));
-        !self.members.is_empty()
-            && self
-                .members
-                .values()
-                .all(|member| silent(member) >= RETIRE / 2)
-    }
-
-    /// Whether this daemon is to watch the store: it is the first of its data centre that the store
-    /// doesn't fail, or what it knows is too old. Right after its start, when it can't know who lives,
-    /// it is the first of all that are registered there. One that the store fails goes on trying only where
-    /// it is the first of all in its data centre, so that an outage costs few calls.
-    pub fn must_watch(&self, now: Time, own: &Own) -> bool {
-        if own.stage == Stage::Leaving {
-            return false;
-        }
-        let failing = own.watch == Watch::Failing;
-        if now.since(self.began) < SETTLE {
-            return self.listed && self.first_of(|_| true);
-        }
-        if !failing && self.age(now, own) >= STALE {
-            return true;
-        }
-        self.first_of(|member| {
-            self.alive(member, now)
-                && member.stage != Stage::Leaving
-                && (failing || member.watch != Watch::Failing)
-        })
-    }
-
-    /// Whether this daemon comes before all others of its data centre of some kind, in an order that
-    /// all compute alike.
-    fn first_of(&self, kind: impl Fn(&Member) -> bool) -> bool {
-        const ORDER: &str = "watch";
-        let own = (rank(ORDER, &self.name), &self.name);
-        !self
-            .members
-            .iter()
-            .filter(|(_, member)| member.centre == self.centre && kind(member))
-            .any(|(name, _)| (rank(ORDER, name), name) < own)
-    }
-
-    /// How old this daemon's knowledge of the site is.
-    pub fn age(&self, now: Time, own: &Own) -> Span {
-        if own.watch == Watch::Live {
-            return Span::ZERO;
-        }
-        let told = self
-            .members
-            .values()
-            .filter(|member| !member.revs.ahead(&own.revs))
-            .filter_map(|member| member.age)
-            .map(|(age, at)| age + now.since(at));
-        told.min().unwrap_or(now.since(self.began))
-    }
-
     /// Sends heartbeats, when they are due.
     pub fn tick(&mut self, now: Time, own: &Own) -> Vec<Action> {
         self.forgive_stall(now);
@@ -312,22 +223,6 @@
         actions
     }
 
-    /// Some of the daemons that a new one may not know, those that were heard first.
-    fn contacts(&mut self, new: &Name) -> Vec<Contact> {
-        let others = self.members.iter().filter(|(name, _)| *name != new);
-        let mut contacts: Vec<Contact> = others
-            .map(|(name, member)| Contact {
-                centre: member.centre.clone(),
-                ip: member.ip,
-                name: name.clone(),
-            })
-            .collect();
-        self.rng.shuffle(&mut contacts);
-        contacts.sort_by_key(|contact| self.members[&contact.name].heard.is_none());
-        contacts.truncate(MAX_CONTACTS);
-        contacts
-    }
-
     fn hear_rows(&mut self, now: Time, rows: &[Row]) {
         let mut rows: Map<u32, &Row> = rows.iter().map(|row| (row.key, row)).collect();
         rows.remove(&key(&self.name));
@@ -361,93 +256,9 @@
             }
         }
     }
-
-    /// Daemons of the own data centre, by chance where there are many; now and then one that isn't
-    /// known to be alive.
-    fn near_targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
-        let near = |member: &&Member| member.centre == self.centre;
-        let (mut alive, mut silent): (Vec<&Member>, Vec<&Member>) = self
-            .members
-            .values()
-            .filter(near)
-            .partition(|member| self.alive(member, now));
-        self.rng.shuffle(&mut alive);
-        self.rng.shuffle(&mut silent);
-        let many = alive.len() >= FANOUT;
-        let seek = if !many {
-            FANOUT - alive.len()
-        } else {
-            usize::from(self.rng.usize(..SEEK_ONE_IN) == 0)
-        };
-        alive.truncate(FANOUT);
-        let silent = silent.into_iter().take(seek);
-        alive
-            .into_iter()
-            .chain(silent)
-            .map(|member| member.ip)
-            .collect()
-    }
-
-    /// At most one daemon of each other data centre, by chance.
-    fn far_targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
-        let near = self
-            .members
-            .values()
-            .filter(|member| member.centre == self.centre && self.alive(member, now));
-        let share = FAR_RATE * PERIOD.as_secs() / (near.count() + 1) as f64;
-        let mut centres: Map<Name, Vec<(bool, Ipv4Addr)>> = Map::default();
-        for member in self.members.values() {
-            if member.centre != self.centre {
-                let known = centres.entry(member.centre.clone()).or_default();
-                known.push((self.alive(member, now), member.ip));
-            }
-        }
-        let mut targets = Vec::new();
-        for mut members in centres.into_values() {
-            let seek = self.rng.usize(..SEEK_ONE_IN) == 0;
-            if !seek && members.iter().any(|(alive, _)| *alive) {
-                members.retain(|(alive, _)| *alive);
-            }
-            if self.rng.f64() < share {
-                targets.extend(self.rng.choice(members).map(|(_, ip)| ip));
-            }
-        }
-        targets
-    }
-
-    fn rows(&self, now: Time, wanted: impl Fn(&Member) -> bool) -> Vec<Row> {
-        self.members
-            .iter()
-            .filter(|(_, member)| self.alive(member, now) && wanted(member))
-            .map(|(name, member)| Row {
-                count: member.count,
-                key: key(name),
-                life: member.life,
-                stage: member.stage,
-            })
-            .collect()
-    }
-
-    /// A heartbeat without rows.
-    fn beat(&self, now: Time, own: &Own) -> Beat {
-        Beat {
-            age: self.age(now, own),
-            centre: self.centre.clone(),
-            contacts: Vec::new(),
-            count: self.count,
-            ip: self.ip,
-            life: self.life,
-            name: self.name.clone(),
-            revs: own.revs,
-            rows: Vec::new(),
-            seeks: self.seeks,
-            stage: own.stage,
-            watch: own.watch,
-        }
-    }
 }
 
-fn key(name: &str) -> u32 {
+pub(crate) fn key(name: &str) -> u32 {
     // Half of the hash is dropped on purpose: rows must stay small.
     rank("row", name) as u32
 }
--- /dev/null
+++ b/crates/peer/src/sending.rs
@@ -0,0 +1,119 @@
+//! To whom heartbeats go, and what they say.
+
+use {
+    crate::{Beat, Contact, Member, Own, PERIOD, Roster, Row, roster::key},
+    std::net::Ipv4Addr,
+    unit::{Map, Name, Time},
+};
+
+/// Daemons of the own data centre that get each heartbeat.
+const FANOUT: usize = 5;
+/// Heartbeats a second from all daemons of one data centre to each other data centre. Bytes between
+/// data centres are dear, so their number doesn't grow with the fleet.
+const FAR_RATE: f64 = 5.0;
+/// One heartbeat in so many goes to a daemon that isn't known to be alive.
+const SEEK_ONE_IN: usize = 4;
+/// Daemons of which a new one is told at most, so that the message stays one datagram.
+const MAX_CONTACTS: usize = 24;
+
+impl Roster {
+    /// Some of the daemons that a new one may not know, those that were heard first.
+    pub(crate) fn contacts(&mut self, new: &Name) -> Vec<Contact> {
+        let others = self.members.iter().filter(|(name, _)| *name != new);
+        let mut contacts: Vec<Contact> = others
+            .map(|(name, member)| Contact {
+                centre: member.centre.clone(),
+                ip: member.ip,
+                name: name.clone(),
+            })
+            .collect();
+        self.rng.shuffle(&mut contacts);
+        contacts.sort_by_key(|contact| self.members[&contact.name].heard.is_none());
+        contacts.truncate(MAX_CONTACTS);
+        contacts
+    }
+
+    /// Daemons of the own data centre, by chance where there are many; now and then one that isn't
+    /// known to be alive.
+    pub(crate) fn near_targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        let near = |member: &&Member| member.centre == self.centre;
+        let (mut alive, mut silent): (Vec<&Member>, Vec<&Member>) = self
+            .members
+            .values()
+            .filter(near)
+            .partition(|member| self.alive(member, now));
+        self.rng.shuffle(&mut alive);
+        self.rng.shuffle(&mut silent);
+        let many = alive.len() >= FANOUT;
+        let seek = if !many {
+            FANOUT - alive.len()
+        } else {
+            usize::from(self.rng.usize(..SEEK_ONE_IN) == 0)
+        };
+        alive.truncate(FANOUT);
+        let silent = silent.into_iter().take(seek);
+        alive
+            .into_iter()
+            .chain(silent)
+            .map(|member| member.ip)
+            .collect()
+    }
+
+    /// At most one daemon of each other data centre, by chance.
+    pub(crate) fn far_targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        let near = self
+            .members
+            .values()
+            .filter(|member| member.centre == self.centre && self.alive(member, now));
+        let share = FAR_RATE * PERIOD.as_secs() / (near.count() + 1) as f64;
+        let mut centres: Map<Name, Vec<(bool, Ipv4Addr)>> = Map::default();
+        for member in self.members.values() {
+            if member.centre != self.centre {
+                let known = centres.entry(member.centre.clone()).or_default();
+                known.push((self.alive(member, now), member.ip));
+            }
+        }
+        let mut targets = Vec::new();
+        for mut members in centres.into_values() {
+            let seek = self.rng.usize(..SEEK_ONE_IN) == 0;
+            if !seek && members.iter().any(|(alive, _)| *alive) {
+                members.retain(|(alive, _)| *alive);
+            }
+            if self.rng.f64() < share {
+                targets.extend(self.rng.choice(members).map(|(_, ip)| ip));
+            }
+        }
+        targets
+    }
+
+    pub(crate) fn rows(&self, now: Time, wanted: impl Fn(&Member) -> bool) -> Vec<Row> {
+        self.members
+            .iter()
+            .filter(|(_, member)| self.alive(member, now) && wanted(member))
+            .map(|(name, member)| Row {
+                count: member.count,
+                key: key(name),
+                life: member.life,
+                stage: member.stage,
+            })
+            .collect()
+    }
+
+    /// A heartbeat without rows.
+    pub(crate) fn beat(&self, now: Time, own: &Own) -> Beat {
+        Beat {
+            age: self.age(now, own),
+            centre: self.centre.clone(),
+            contacts: Vec::new(),
+            count: self.count,
+            ip: self.ip,
+            life: self.life,
+            name: self.name.clone(),
+            revs: own.revs,
+            rows: Vec::new(),
+            seeks: self.seeks,
+            stage: own.stage,
+            watch: own.watch,
+        }
+    }
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -2,27 +2,18 @@
     crate::{
         Action, CallId, Failure, News,
         registration::{Registration, Stage},
-        topic::{Follow, Phase, readable},
+        topic::{Follow, Phase},
     },
     fastrand::Rng,
-    platform::{Call, MemberEntry, Object, Reply},
-    site::{Change, Departure, Edition, Item, Rev, Revs, Topic},
-    unit::{Name, Span, Time},
+    platform::{Call, MemberEntry, Reply},
+    site::{Departure, Rev, Revs, Topic},
+    unit::{Span, Time},
 };
 
 /// How long a call that doesn't wait may take.
-const CALL_TIME: Span = Span::millis(1_500);
-/// How long the store waits for a change before it answers a watch without one.
-const WATCH_WAIT: Span = Span::secs(6);
-/// How much longer than its wait a watch may take.
-const WATCH_SLACK: Span = Span::millis(1_500);
-/// The pause between the answer to a watch and the next, so that changes that come together are
-/// told together.
-const GATHER: Span = Span::millis(120);
+pub(crate) const CALL_TIME: Span = Span::millis(1_500);
 /// How long after a failure of the store a missing worker may be one that will come back.
 const TROUBLE: Span = Span::secs(4);
-/// How often a daemon reads the entries of all, on average.
-const REFRESH: Span = Span::secs(600);
 /// How long a watch may lack what another daemon already told.
 const OUTRUN: Span = Span::millis(800);
 /// How long a daemon that reads from others holds the store for failing.
@@ -40,16 +31,16 @@
 /// The client of the platform's store.
 #[derive(Debug)]
 pub struct Client {
-    actions: Vec<Action>,
+    pub(crate) actions: Vec<Action>,
     /// When the store last failed or refused a call, where it hasn't answered since.
-    failing: Option<Time>,
-    follows: [Follow; 3],
-    next_call: u64,
-    registration: Registration,
-    rng: Rng,
-    role: Role,
+    pub(crate) failing: Option<Time>,
+    pub(crate) follows: [Follow; 3],
+    pub(crate) next_call: u64,
+    pub(crate) registration: Registration,
+    pub(crate) rng: Rng,
+    pub(crate) role: Role,
     /// When the store last failed a call.
-    trouble: Option<Time>,
+    pub(crate) trouble: Option<Time>,
 }
 
 impl Client {
@@ -103,13 +94,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Takes away the entry of a daemon that is gone for good. Where that fails, the entry is found
-    /// again with the next list.
-    pub fn remove_member(&mut self, name: Name, rev: Rev) -> Vec<Action> {
-        self.call(Call::RemoveMember(name, rev), CALL_TIME);
-        std::mem::take(&mut self.actions)
-    }
-
     /// Takes in that another daemon knew a topic further. Where the own watch doesn't tell the same
     /// soon, it is broken off and begun anew.
     pub fn outrun(&mut self, topic: Topic, now: Time) {
@@ -217,25 +201,7 @@
         }
     }
 
-    /// Reads a topic of which nothing is known, and watches any other.
-    fn start(&mut self, at: usize, revs: &Revs) {
-        let topic = self.follows[at].topic;
-        let known = revs.of(topic);
-        if known == Rev::default() {
-            self.list(at);
-            return;
-        }
-        let from = known.max(self.follows[at].seen);
-        let watch = Call::Watch {
-            from,
-            topic,
-            wait: WATCH_WAIT,
-        };
-        let call = self.call(watch, WATCH_WAIT + WATCH_SLACK);
-        self.follows[at].phase = Phase::Watching(call);
-    }
-
-    fn call(&mut self, call: Call, time: Span) -> CallId {
+    pub(crate) fn call(&mut self, call: Call, time: Span) -> CallId {
         let id = CallId(self.next_call);
         self.next_call += 1;
         self.actions.push(Action::Call(id, call, time));
@@ -254,173 +220,6 @@
             self.actions.push(Action::News(News::Lost(topic)));
         }
     }
-
-    fn topic_failed(&mut self, now: Time, at: usize) {
-        let pause = self.follows[at].backoff.next(&mut self.rng);
-        self.follows[at].current = false;
-        self.follows[at].phase = Phase::Pause(now + pause);
-    }
-
-    fn topic_reply(&mut self, now: Time, at: usize, reply: Reply) {
-        self.follows[at].backoff.reset();
-        self.follows[at].outrun = None;
-        let topic = self.follows[at].topic;
-        match reply {
-            Reply::Page { next, objects, rev } => self.page(now, at, next, objects, rev),
-            Reply::Events(objects, rev) => {
-                let items = self.items(topic, objects, now);
-                if let Some(newest) = items.iter().map(|item| item.rev).max() {
-                    self.change(topic, false, items, newest, now);
-                }
-                self.follows[at].seen = self.follows[at].seen.max(rev);
-                self.follows[at].current = true;
-                self.follows[at].phase = Phase::Pause(now + GATHER);
-            }
-            Reply::Compacted => self.list(at),
-            Reply::Conflict | Reply::Done | Reply::NotFound | Reply::Refused(_) => {
-                self.topic_failed(now, at);
-            }
-        }
-    }
-
-    /// Reads a topic in full.
-    fn list(&mut self, at: usize) {
-        let topic = self.follows[at].topic;
-        let call = self.call(Call::List { after: None, topic }, CALL_TIME);
-        self.follows[at].phase = Phase::Listing {
-            call,
-            items: Vec::new(),
-            rev: None,
-        };
-    }
-
-    fn page(
-        &mut self,
-        now: Time,
-        at: usize,
-        next: Option<Name>,
-        objects: Vec<Object>,
-        page_rev: Rev,
-    ) {
-        let topic = self.follows[at].topic;
-        let page = self.items(topic, objects, now);
-        let Phase::Listing { items, rev, .. } = &mut self.follows[at].phase else {
-            return;
-        };
-        items.extend(page);
-        let rev = *rev.get_or_insert(page_rev);
-        let items = std::mem::take(items);
-        if next.is_none() {
-            self.change(topic, true, items, rev, now);
-            self.follows[at].current = true;
-            self.follows[at].phase = Phase::Pause(now);
-            return;
-        }
-        let call = self.call(Call::List { after: next, topic }, CALL_TIME);
-        self.follows[at].phase = Phase::Listing {
-            call,
-            items,
-            rev: Some(rev),
-        };
-    }
-
-    fn items(&mut self, topic: Topic, objects: Vec<Object>, now: Time) -> Vec<Edition<Item>> {
-        let departure = self.departure(now);
-        let actions = &mut self.actions;
-        let mut gone = Vec::new();
-        let mut items = readable(objects, |object| {
-            if let Object::Unreadable { name, reason, rev } = object {
-                if topic == Topic::Workers && !name.is_empty() {
-                    let value = Item::WorkerGone(name.clone(), departure);
-                    gone.push(Edition { rev, value });
-                }
-                actions.push(Action::News(News::Unreadable(name, reason)));
-            }
-        });
-        items.extend(gone);
-        items
-    }
-
-    fn change(&mut self, topic: Topic, full: bool, items: Vec<Edition<Item>>, rev: Rev, now: Time) {
-        let change = Change {
-            absent: self.departure(now),
-            full,
-            items,
-            rev,
-            topic,
-        };
-        self.actions.push(Action::News(News::Change(change)));
-    }
-
-    fn register(&mut self) {
-        if self.registration.entered {
-            self.list_members(None, Vec::new());
-            return;
-        }
-        let own = self.registration.own.clone();
-        let call = self.call(Call::CreateMember(own), CALL_TIME);
-        self.registration.stage = Stage::Creating(call);
-    }
-
-    fn list_members(&mut self, after: Option<Name>, found: Vec<(Rev, MemberEntry)>) {
-        let call = self.call(Call::ListMembers { after }, CALL_TIME);
-        self.registration.stage = Stage::Listing { call, found };
-    }
-
-    fn member_failed(&mut self, now: Time) {
-        self.registration.lost |= matches!(self.registration.stage, Stage::Creating(_));
-        let pause = self.registration.backoff.next(&mut self.rng);
-        self.registration.stage = Stage::Pause(now + pause);
-    }
-
-    fn member_reply(&mut self, now: Time, reply: Reply) {
-        self.registration.backoff.reset();
-        match reply {
-            // A conflict settles a lost answer, too: the entry exists.
-            Reply::Conflict | Reply::Done => {
-                let lost = self.registration.lost;
-                let new = reply == Reply::Done || lost;
-                self.registration.entered = true;
-                self.actions.push(Action::News(News::Registered(new)));
-                self.list_members(None, Vec::new());
-            }
-            Reply::Page { next, objects, .. } => self.member_page(now, next, objects),
-            Reply::Compacted | Reply::Events(..) | Reply::NotFound | Reply::Refused(_) => {
-                self.member_failed(now);
-            }
-        }
-    }
-
-    fn member_page(&mut self, now: Time, next: Option<Name>, objects: Vec<Object>) {
-        let Stage::Listing { found, .. } = &mut self.registration.stage else {
-            return;
-        };
-        let mut found = std::mem::take(found);
-        for object in objects {
-            match object {
-                Object::Member(rev, entry) => found.push((rev, entry)),
-                Object::Unreadable { name, reason, .. } => self
-                    .actions
-                    .push(Action::News(News::Unreadable(name, reason))),
-                Object::Topic(_) => {}
-            }
-        }
-        if next.is_some() {
-            self.list_members(next, found);
-            return;
-        }
-        let own = self.registration.own.clone();
-        let other = found
-            .iter()
-            .find(|(_, entry)| entry.name == own.name && *entry != own)
-            .map(|(rev, _)| *rev);
-        self.registration.stage = match other {
-            Some(rev) => Stage::Replacing(self.call(Call::ReplaceMember(own, rev), CALL_TIME)),
-            // The list is read again now and then, so that entries of daemons that are gone end.
-            None => Stage::Pause(now + REFRESH.scale(0.5 + self.rng.f64())),
-        };
-        self.actions.push(Action::News(News::Members(found)));
-    }
 }
 
 fn index(topic: Topic) -> usize {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,8 +4,10 @@
 mod action;
 mod backoff;
 mod client;
+mod members;
 mod registration;
 mod topic;
+mod topics;
 
 pub use {
     action::{Action, CallId, Failure, News},
