--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -13,8 +13,8 @@
     pub(crate) expected: Span,
     pub(crate) link: LinkId,
     pub(crate) load: Option<Load>,
-    /// Whether it has a permit for a cold worker.
-    pub(crate) permit: bool,
+    /// When it got a permit for a cold worker, where it has one.
+    pub(crate) permit: Option<Time>,
     pub(crate) worker: Key,
 }
 
@@ -22,8 +22,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ask {
     pub(crate) link: LinkId,
-    /// Whether it has a permit for a cold worker.
-    pub(crate) permit: bool,
+    /// When it got a permit for a cold worker, where it has one.
+    pub(crate) permit: Option<Time>,
     pub(crate) until: Time,
     pub(crate) worker: Key,
 }
--- a/crates/call/src/desk.rs
+++ b/crates/call/src/desk.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
-        Action, AskFailure, Begin, CallId, Event, LinkId, Note, Policy, Refusal, Step, call::Call,
+        Action, AskFailure, Begin, CallId, Event, LinkId, Note, Policy, Refusal, Step,
+        call::{Call, Offer},
         split::Split,
     },
     fastrand::Rng,
@@ -162,6 +163,14 @@
         self.hedge(now, id);
     }
 
+    /// Gives up an offer that wasn't used.
+    pub(crate) fn decline(&mut self, offer: &Offer) {
+        if let Some(taken) = offer.permit {
+            self.table.give_back_cold(offer.worker, taken);
+        }
+        self.release(offer.link);
+    }
+
     pub(crate) fn release(&mut self, link: LinkId) {
         self.links.remove(&link);
         self.actions.push(Action::Release(link));
--- a/crates/call/src/ending.rs
+++ b/crates/call/src/ending.rs
@@ -171,7 +171,7 @@
             self.drop_link(ask.link);
         }
         if let Some(offer) = &call.offer {
-            self.release(offer.link);
+            self.decline(offer);
         }
         if let Some(link) = call.fallback.filter(|link| Some(*link) != kept) {
             self.drop_link(link);
--- a/crates/call/src/search.rs
+++ b/crates/call/src/search.rs
@@ -77,12 +77,18 @@
 
     pub(crate) fn ask(&mut self, now: Time, id: CallId, worker: Key) {
         let until = now + self.policy.ask_time;
-        if let Some(link) = self.begin_ask(id, worker, until, false) {
+        if let Some(link) = self.begin_ask(id, worker, until, None) {
             self.actions.push(Action::Ask { link, worker });
         }
     }
 
-    fn begin_ask(&mut self, id: CallId, worker: Key, until: Time, permit: bool) -> Option<LinkId> {
+    fn begin_ask(
+        &mut self,
+        id: CallId,
+        worker: Key,
+        until: Time,
+        permit: Option<Time>,
+    ) -> Option<LinkId> {
         let call = self.calls.get_mut(&id)?;
         let link = LinkId(self.next_link);
         self.next_link += 1;
@@ -155,7 +161,7 @@
             return false;
         }
         let until = now + self.policy.ask_time;
-        if let Some(link) = self.begin_ask(id, worker, until, !warm) {
+        if let Some(link) = self.begin_ask(id, worker, until, (!warm).then_some(now)) {
             self.actions.push(Action::Open { link, worker });
         }
         true
@@ -173,6 +179,9 @@
         };
         if let Err(failure) = result {
             self.links.remove(&link);
+            if let Some(taken) = ask.permit {
+                self.table.give_back_cold(ask.worker, taken);
+            }
             self.passed(now, id, ask.worker, Some(failure), None);
             self.search(now, id);
             return;
@@ -252,7 +261,7 @@
         });
         if let Some((better, worse)) = worse {
             call.offer = Some(better);
-            self.release(worse.link);
+            self.decline(&worse);
             self.passed(now, id, worse.worker, None, worse.load);
         }
         if good {
@@ -290,7 +299,7 @@
             expected: belief.expected(now, &work),
             link: ask.link,
             load: health.load,
-            permit: cold,
+            permit: cold.then_some(now),
             worker: ask.worker,
         })
     }
@@ -356,7 +365,7 @@
         self.timers.push(Reverse((now + span, id)));
         self.note(now, id, Step::Waits(span));
         if let Some(offer) = offer {
-            self.release(offer.link);
+            self.decline(&offer);
         }
     }
 }
--- a/crates/call/src/sending.rs
+++ b/crates/call/src/sending.rs
@@ -31,7 +31,7 @@
         let offer = call.offer.take();
         self.timers.push(Reverse((now + HEDGE_PAUSE, id)));
         if let Some(offer) = offer {
-            self.release(offer.link);
+            self.decline(&offer);
         }
     }
 
@@ -51,7 +51,7 @@
         let permitted =
             left >= MIN_LEFT && (!repeat || self.retry_share(&service).take(now, members, part));
         if !permitted {
-            self.release(offer.link);
+            self.decline(&offer);
             if hedge {
                 self.stop_hedge(now, id);
             } else {
@@ -67,7 +67,7 @@
             worker: offer.worker,
         };
         self.note(now, id, step);
-        self.table.sent(offer.worker, now, offer.permit);
+        self.table.sent(offer.worker, now, offer.permit.is_some());
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
--- a/crates/limit/src/cold.rs
+++ b/crates/limit/src/cold.rs
@@ -39,6 +39,11 @@
         self.sent.count(now) < allowance(bound, peers)
     }
 
+    /// Takes back a request that was counted at a moment and not sent.
+    pub fn take_back(&mut self, at: Time) {
+        self.sent.take_back(at);
+    }
+
     /// Counts a request.
     pub fn sent(&mut self, now: Time) {
         self.sent.add(now);
--- a/crates/limit/src/window.rs
+++ b/crates/limit/src/window.rs
@@ -26,6 +26,13 @@
         self.events.push_back(now);
     }
 
+    /// Takes back an event that was counted at a moment.
+    pub fn take_back(&mut self, at: Time) {
+        if let Some(place) = self.events.iter().rposition(|event| *event == at) {
+            self.events.remove(place);
+        }
+    }
+
     /// How many events lie in the window.
     pub fn count(&mut self, now: Time) -> usize {
         self.forget(now);
--- a/crates/pick/src/table.rs
+++ b/crates/pick/src/table.rs
@@ -239,8 +239,15 @@
             .is_some_and(|belief| belief.take_unasked(now, span, most))
     }
 
+    /// Gives back a permit for a cold worker that was taken at a moment and not used.
+    pub fn give_back_cold(&mut self, key: Key, taken: Time) {
+        if let Some(belief) = self.beliefs.get_mut(&key) {
+            belief.cold_share.take_back(taken);
+        }
+    }
+
     /// Takes a permit for one request to a worker that is cold or may be, at most `bound` a second
-    /// for the fleet. A permit that isn't used is lost.
+    /// for the fleet.
     pub fn take_cold(&mut self, key: Key, now: Time, bound: f64) -> bool {
         if self.cold_from.is_none_or(|at| now < at) {
             return false;
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -257,3 +257,17 @@
     assert!((65..=75).contains(&usual), "{usual}");
     assert_eq!(work.under(None), work.usual());
 }
+
+#[test]
+fn a_permit_for_a_cold_worker_that_is_given_back_may_be_taken_again() {
+    let mut table = table();
+    let key = table.enter(worker("x", "a"), at(0));
+    table.feed_cold_from(Some(at(0)));
+    let taken = (0..100)
+        .filter(|_| table.take_cold(key, at(0), 10.0))
+        .count();
+    assert_eq!(taken, 9);
+    table.give_back_cold(key, at(0));
+    assert!(table.take_cold(key, at(0), 10.0));
+    assert!(!table.take_cold(key, at(0), 10.0));
+}
