--- a/crates/pick/src/belief.rs
+++ b/crates/pick/src/belief.rs
@@ -121,6 +121,11 @@
         Standing::Usable
     }
 
+    /// Whether its health endpoint answered within the last `span`.
+    pub(crate) fn asked_within(&self, now: Time, span: Span) -> bool {
+        self.asked.is_some_and(|at| now.since(at) < span)
+    }
+
     /// Takes leave to send it a request without asking: where it was warm within the last `span`,
     /// and no more than `most` others had this leave since.
     pub(crate) fn take_unasked(&mut self, now: Time, span: Span, most: u32) -> bool {
--- a/crates/pick/src/table.rs
+++ b/crates/pick/src/table.rs
@@ -11,6 +11,10 @@
 const BAD_NEWS: Span = Span::millis(60);
 /// How long such a worker isn't asked at all by a request that waits.
 const RECHECK: Span = Span::millis(25);
+/// How long after a question the connection to a worker is likely still open.
+const HABIT: Span = Span::secs(6);
+/// How much less readily a worker is asked to which no connection is likely open.
+const STRANGER: f64 = 1.5;
 /// One request in so many asks a worker first that this daemon never used.
 const TRY_NEW_ONE_IN: u32 = 8;
 /// The part of a worker's health requests that the daemons of its own data centre may make; the
@@ -188,7 +192,12 @@
             let near = belief.worker.centre == self.centre;
             let tier = tier(belief, standing, near, try_new, now);
             let jitter = 0.9 + 0.2 * rng.f64();
-            let weight = belief.slowness(now).max(1.0) * (1.0 + f64::from(belief.inflight));
+            let habit = if belief.asked_within(now, HABIT) {
+                1.0
+            } else {
+                STRANGER
+            };
+            let weight = belief.slowness(now).max(1.0) * (1.0 + f64::from(belief.inflight)) * habit;
             let score = (tier, weight * jitter);
             let better = |(_, other): &(Choice, (u32, f64))| {
                 score.partial_cmp(other) == Some(Ordering::Less)
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -271,3 +271,16 @@
     assert!(table.take_cold(key, at(0), 10.0));
     assert!(!table.take_cold(key, at(0), 10.0));
 }
+
+#[test]
+fn a_worker_is_asked_first_to_which_a_connection_is_likely_open() {
+    let mut table = table();
+    let ids: Vec<String> = (0..20).map(|number| format!("w-{number}")).collect();
+    let keys: Vec<Key> = ids
+        .iter()
+        .map(|id| table.enter(worker(id, "a"), at(0)))
+        .collect();
+    use_once(&mut table, &keys);
+    table.health(keys[7], at(0), &health(None));
+    assert_eq!(order(&table, at(1_000))[0], Name::from("w-7"));
+}
