--- a/crates/peer/src/duties.rs
+++ b/crates/peer/src/duties.rs
@@ -54,23 +54,35 @@
         if !failing && self.age(now, own) >= STALE {
             return true;
         }
-        self.first_of(|member| {
+        let candidate = |member: &Member| {
             self.alive(member, now)
                 && member.stage != Stage::Leaving
                 && (failing || member.watch != Watch::Failing)
-        })
+        };
+        // Where the store fails one, it may fail the next too: then two of the others watch.
+        let trouble = self.members.values().any(|member| {
+            member.centre == self.centre
+                && self.alive(member, now)
+                && member.watch == Watch::Failing
+        });
+        self.place_among(candidate) <= usize::from(trouble && !failing)
     }
 
-    /// Whether this daemon comes before all others of its data centre of some kind, in an order that
-    /// all compute alike.
+    /// Whether this daemon comes before all others of its data centre of some kind.
     pub(crate) fn first_of(&self, kind: impl Fn(&Member) -> bool) -> bool {
+        self.place_among(kind) == 0
+    }
+
+    /// How many others of its data centre of some kind come before this daemon, in an order that all
+    /// compute alike.
+    fn place_among(&self, kind: impl Fn(&Member) -> bool) -> usize {
         const ORDER: &str = "watch";
         let own = (rank(ORDER, &self.name), &self.name);
-        !self
-            .members
+        self.members
             .iter()
             .filter(|(_, member)| member.centre == self.centre && kind(member))
-            .any(|(name, _)| (rank(ORDER, name), name) < own)
+            .filter(|(name, _)| (rank(ORDER, name), *name) < own)
+            .count()
     }
 
     /// How old this daemon's knowledge of the site is.
--- a/crates/peer/tests/fleet.rs
+++ b/crates/peer/tests/fleet.rs
@@ -184,7 +184,7 @@
     fleet.nodes[watchers[1]].own.watch = Watch::Failing;
     fleet.run(10);
     let new = fleet.watchers();
-    assert_eq!(new.len(), 3);
+    assert_eq!(new.len(), 4);
     assert!(!new.contains(&watchers[0]) && !new.contains(&watchers[1]));
 }
 
@@ -332,14 +332,14 @@
 }
 
 #[test]
-fn a_watcher_that_the_store_fails_is_replaced_by_one_daemon_and_for_good() {
+fn a_watcher_that_the_store_fails_is_replaced_by_two_daemons_and_for_good() {
     let mut fleet = Fleet::new(13);
     fleet.run(10);
     let first = fleet.watchers()[0];
     fleet.nodes[first].own.watch = Watch::Failing;
     fleet.run(3);
     let replaced = fleet.watchers();
-    assert_eq!(replaced.len(), 3);
+    assert_eq!(replaced.len(), 4);
     for _ in 0..20 {
         fleet.run(1);
         assert_eq!(fleet.watchers(), replaced);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -14,6 +14,9 @@
 pub(crate) const CALL_TIME: Span = Span::millis(1_500);
 /// How long after a failure of the store a missing worker may be one that will come back.
 const TROUBLE: Span = Span::secs(4);
+/// The pause between two questions whether the store answers, and how long the answer may take.
+const PROBE_PAUSE: Span = Span::millis(700);
+const PROBE_TIME: Span = Span::millis(600);
 /// How long a watch may lack what another daemon already told.
 const OUTRUN: Span = Span::millis(800);
 /// How long a daemon that reads from others holds the store for failing.
@@ -28,6 +31,16 @@
     Watcher,
 }
 
+/// The question whether the store answers, which a watcher asks again and again: a watch that waits
+/// doesn't show that the store has stopped answering this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Probe {
+    /// It is to be asked at a moment.
+    Due(Time),
+    /// The answer is awaited.
+    Sent(CallId),
+}
+
 /// The client of the platform's store.
 #[derive(Debug)]
 pub struct Client {
@@ -36,6 +49,7 @@
     pub(crate) failing: Option<Time>,
     pub(crate) follows: [Follow; 3],
     pub(crate) next_call: u64,
+    probe: Probe,
     pub(crate) registration: Registration,
     pub(crate) rng: Rng,
     pub(crate) role: Role,
@@ -51,6 +65,7 @@
             failing: None,
             follows: Topic::ALL.map(Follow::new),
             next_call: 0,
+            probe: Probe::Due(now),
             registration: Registration::new(own, now),
             rng,
             role: Role::Reader,
@@ -87,6 +102,7 @@
                 self.failing = None;
             }
             self.role = role;
+            self.probe = Probe::Due(now + PROBE_PAUSE);
             for at in 0..self.follows.len() {
                 self.turn(at, now);
             }
@@ -113,6 +129,12 @@
                 self.start(at, revs);
             }
         }
+        if let Probe::Due(at) = self.probe
+            && at <= now
+            && self.role == Role::Watcher
+        {
+            self.probe = Probe::Sent(self.call(Call::Probe, PROBE_TIME));
+        }
         if let Stage::Pause(until) = self.registration.stage
             && until <= now
         {
@@ -131,7 +153,11 @@
             Stage::Pause(until) => Some(until),
             _ => None,
         };
-        topics.chain(own).min()
+        let probe = match self.probe {
+            Probe::Due(at) if self.role == Role::Watcher => Some(at),
+            _ => None,
+        };
+        topics.chain(own).chain(probe).min()
     }
 
     /// Takes in the answer to a call, or why there is none.
@@ -151,6 +177,13 @@
             self.failed(now, topic);
         }
         let reply = answer.ok().filter(|_| usable);
+        if self.probe == Probe::Sent(id) {
+            self.probe = Probe::Due(now + PROBE_PAUSE);
+            if reply.is_none() {
+                self.break_off(now);
+            }
+            return std::mem::take(&mut self.actions);
+        }
         match (follow, reply) {
             (Some(at), Some(reply)) => self.topic_reply(now, at, reply),
             (Some(at), None) => self.topic_failed(now, at),
@@ -171,6 +204,16 @@
         }
     }
 
+    /// The store doesn't answer, so the watches that wait may wait in vain.
+    fn break_off(&mut self, now: Time) {
+        for at in 0..self.follows.len() {
+            if let Phase::Watching(call) = self.follows[at].phase {
+                self.actions.push(Action::Cancel(call));
+                self.topic_failed(now, at);
+            }
+        }
+    }
+
     fn check_outrun(&mut self, at: usize, now: Time) {
         let follow = &mut self.follows[at];
         let (Phase::Watching(call), Some(since)) = (&follow.phase, follow.outrun) else {
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -354,6 +354,21 @@
     assert!(scene.has(|call| matches!(call, Call::Watch { from: Rev(9), .. })));
 }
 
+#[test]
+fn a_store_that_stops_answering_is_noticed_though_watches_may_wait() {
+    let mut scene = Scene::watching();
+    scene.pass(Span::millis(700));
+    scene.answer(|call| *call == Call::Probe, Ok(Reply::Done));
+    assert!(scene.client.watching());
+    scene.pass(Span::millis(700));
+    scene.answer(|call| *call == Call::Probe, Err(Failure::Late));
+    assert!(scene.client.failing(scene.now));
+    assert!(!Topic::ALL.iter().any(|topic| scene.has(is_watch(*topic))));
+    scene.turn(Role::Reader);
+    scene.pass(Span::secs(5));
+    assert!(!scene.has(|call| *call == Call::Probe));
+}
+
 #[test]
 fn an_unreadable_worker_names_none_any_more() {
     let mut scene = Scene::watching();
