--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -5,6 +5,7 @@
         caller::{Attempt, Caller},
         error::StandinError,
         ledger::Ledger,
+        ports::free_ports,
         process::Process,
         proxy::Proxy,
         sites::{SERVICE, config},
@@ -18,7 +19,7 @@
         collections::HashMap,
         fs,
         io::{self, Read, Write},
-        net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream},
         path::{Path, PathBuf},
         sync::atomic::{AtomicU32, Ordering},
         time::{Duration, Instant},
@@ -31,8 +32,6 @@
 const DIRECTORY: u16 = 2;
 const OPERATORS: u16 = 3;
 const PEERS: u16 = 4;
-/// Ports that a fleet needs in a row, the same on each of its addresses.
-const PORTS: u16 = 5;
 const CONNECT: Duration = Duration::from_millis(500);
 const LOOK: Duration = Duration::from_millis(20);
 /// How long a fleet may take to become ready.
@@ -325,19 +324,6 @@
     Ok(text)
 }
 
-/// The first of some ports in a row that are free on an address.
-fn free_ports(ip: Ipv4Addr) -> io::Result<u16> {
-    const TRIES: u32 = 100;
-    for _ in 0..TRIES {
-        let base = fastrand::u16(20_000..30_000);
-        let free = (base..base + PORTS).all(|port| TcpListener::bind((ip, port)).is_ok());
-        if free {
-            return Ok(base);
-        }
-    }
-    Err(io::Error::other("no ports are free"))
-}
-
 fn settings(
     name: &str,
     centre: &str,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod ledger;
 mod load;
 mod outcome;
+mod ports;
 mod process;
 mod proxy;
 mod server;
@@ -23,6 +24,7 @@
     ledger::{Ledger, Run},
     load::{Load, Report},
     outcome::Outcome,
+    ports::free_ports,
     process::Process,
     proxy::{Harm, Proxy},
     sites::{READS, SERVICE, WRITES, config},
