--- a/crates/standin/tests/ports.rs
+++ b/crates/standin/tests/ports.rs
@@ -1,6 +1,8 @@
 //! Ports that are called free stay so, though other threads start processes meanwhile: a process
 //! holds copies of all open sockets until its program begins.
 
+#![allow(clippy::expect_used, reason = "a test fails by panicking")]
+
 use {
     standin::free_ports,
     std::{
