Workers that drain stay barred when their entries change again

The daemon barred it 300 ms after it learnt of the drain and forgot what it believed of it; then the entry, still draining, changed once more as the worker ceased to be cold, and the worker was new again: another 300 ms of use. Seen in the log: worker-entered twice, both draining, 1.6 s apart, and a request sent 290 ms after the second. Change: a worker's belief is dropped only once its entry is gone; a worker that is new and draining gets nothing. Tests first: both failed. The old test wanted the belief dropped while the entry still stood; it now wants it kept till then and dropped after.

--- a/crates/pick/src/belief.rs
+++ b/crates/pick/src/belief.rs
@@ -15,7 +15,7 @@
 /// The weight of failed requests from which on a worker is asked last.
 const FAIL_LIMIT: f64 = 1.7;
 /// How long a worker that is leaving may still be used where no other is left.
-pub(crate) const DRAIN_GRACE: Span = Span::millis(300);
+const DRAIN_GRACE: Span = Span::millis(300);
 /// How much one sample moves the estimate of a worker's own slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 /// The time in which a worker's own slowness is half forgotten.
@@ -51,6 +51,8 @@
     pub(crate) cold_share: ColdShare,
     fails: f64,
     fails_at: Time,
+    /// Whether its entry is gone.
+    pub(crate) gone: bool,
     /// Requests of this daemon's that it works on.
     pub(crate) inflight: u32,
     /// Until when it may be used though it leaves; `None` while it stays.
@@ -81,6 +83,7 @@
             cold_share: ColdShare::default(),
             fails: 0.0,
             fails_at: now,
+            gone: false,
             inflight: 0,
             leaves: None,
             load: None,
@@ -97,6 +100,7 @@
 
     pub(crate) fn update(&mut self, worker: Worker, now: Time) {
         self.cold = self.cold.max(now + worker.cold);
+        self.gone = false;
         match (worker.state, self.leaves) {
             (State::Draining, None) => self.leaves = Some(now + DRAIN_GRACE),
             (State::Ready, Some(_)) => self.leaves = None,
--- a/crates/pick/src/table.rs
+++ b/crates/pick/src/table.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{Belief, Key, Outcome, Standing, belief::DRAIN_GRACE},
+    crate::{Belief, Key, Outcome, Standing},
     fastrand::Rng,
     limit::Peers,
     site::{Departure, Health, Load, Service, State, Worker},
@@ -100,7 +100,8 @@
         keys.push(key);
         let draining = worker.state == State::Draining;
         let mut belief = Belief::new(worker, now);
-        belief.leaves = draining.then(|| now + DRAIN_GRACE);
+        // When it began to drain isn't known.
+        belief.leaves = draining.then_some(now);
         self.beliefs.insert(key, belief);
         key
     }
@@ -112,14 +113,15 @@
             let until = now + departure.grace(drain);
             let sooner = belief.leaves.map_or(until, |known| known.min(until));
             belief.leaves = Some(sooner);
+            belief.gone = true;
         }
     }
 
-    /// Drops workers that left so long ago that nothing is under way with them.
+    /// Drops workers whose entries are gone and that get nothing any more. One that drains is kept, as
+    /// its entry may change once more.
     pub fn forget(&mut self, now: Time) {
-        let gone = |belief: &Belief| {
-            belief.inflight == 0 && belief.leaves.is_some_and(|until| now > until)
-        };
+        let over = |belief: &Belief| belief.leaves.is_some_and(|until| now > until);
+        let gone = |belief: &Belief| belief.gone && belief.inflight == 0 && over(belief);
         let keys: Vec<Key> = self
             .beliefs
             .iter()
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -116,9 +116,34 @@
     assert_eq!(table.standing(key, at(1_400)), Standing::Barred);
     assert!(order(&table, at(1_400)).is_empty());
     table.forget(at(1_500));
+    assert!(table.get(key).is_some());
+    table.leave("x", Departure::Left, Span::secs(2), at(1_600));
+    table.forget(at(1_601));
     assert!(table.get(key).is_none());
 }
 
+#[test]
+fn a_draining_worker_whose_entry_changes_again_gets_nothing() {
+    let mut table = table();
+    table.enter(worker("x", "a"), at(0));
+    let mut draining = worker("x", "a");
+    draining.state = State::Draining;
+    table.enter(draining.clone(), at(1_000));
+    table.forget(at(1_500));
+    draining.beats += 1;
+    let key = table.enter(draining, at(2_600));
+    assert_eq!(table.standing(key, at(2_601)), Standing::Barred);
+}
+
+#[test]
+fn a_worker_that_is_new_and_draining_gets_nothing() {
+    let mut table = table();
+    let mut draining = worker("x", "a");
+    draining.state = State::Draining;
+    let key = table.enter(draining, at(0));
+    assert_eq!(table.standing(key, at(0)), Standing::Barred);
+}
+
 #[test]
 fn a_worker_whose_entry_lapsed_is_used_for_longer_than_one_that_left() {
     for (departure, later) in [
