Ranks count among the routes of a service, not against the highest of all

Found by printing rank and end of each request in a scratch copy. Change: every rank above the lowest of its service has that leave; the lowest rank of each service is worked out once a configuration, not by a walk over all routes at each question. What was learnt of routes that are gone is dropped. Tests first (two failed); the test of the highest rank holds for all ranks now.

--- a/crates/call/src/desk.rs
+++ b/crates/call/src/desk.rs
@@ -9,7 +9,7 @@
     pick::{Key, Table, Work},
     site::{Config, Load},
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc},
-    unit::{Map, Name, Span, Time},
+    unit::{Map, Name, Set, Span, Time},
 };
 
 /// How long a request is given where neither its caller nor its route says.
@@ -24,6 +24,8 @@
     pub(crate) calls: Map<CallId, Call>,
     pub(crate) config: Arc<Config>,
     pub(crate) links: Map<LinkId, CallId>,
+    /// The lowest rank among the routes of each service, as the highest `priority`.
+    pub(crate) lowest: Map<Name, u32>,
     pub(crate) next_link: u64,
     pub(crate) notes: Vec<Note>,
     pub(crate) policy: Policy,
@@ -44,6 +46,7 @@
             calls: Map::default(),
             config: Arc::default(),
             links: Map::default(),
+            lowest: Map::default(),
             next_link: 0,
             notes: Vec::new(),
             policy,
@@ -56,8 +59,20 @@
         }
     }
 
-    /// Puts a configuration in force; requests under way keep their routes.
+    /// Puts a configuration in force; requests under way keep their routes. What was learnt of routes
+    /// that are gone is dropped.
     pub fn configure(&mut self, config: Arc<Config>) {
+        let mut routes = Set::default();
+        self.lowest.clear();
+        for route in config.hosts.values().flatten() {
+            routes.insert(&route.name);
+            for target in &route.targets {
+                let lowest = self.lowest.entry(target.service.clone()).or_default();
+                *lowest = route.priority.max(*lowest);
+            }
+        }
+        self.splits.retain(|name, _| routes.contains(name));
+        self.work.retain(|name, _| routes.contains(name));
         self.config = config;
     }
 
--- a/crates/call/src/search.rs
+++ b/crates/call/src/search.rs
@@ -12,7 +12,7 @@
     unit::{Span, Time},
 };
 
-/// Requests beyond its slots that a worker gets from requests of the highest rank.
+/// Requests beyond its slots that a worker gets from requests above the lowest rank.
 const URGENT_QUEUE: u32 = 2;
 /// How long a worker that was warm is taken for warm without being asked. It may turn cold at any
 /// moment, and what all daemons send it before they notice counts.
@@ -304,20 +304,16 @@
         })
     }
 
-    /// Requests of the highest rank may wait at a worker, others need a free slot. Under more load
-    /// than the workers bear, this serves the higher rank first.
+    /// Requests above the lowest rank of their service may wait at a worker, others need a free slot.
+    /// Under more load than the workers bear, this serves the higher ranks first.
     pub(crate) fn has_room(&self, call: &Call, load: Load) -> bool {
         let queue = if self.urgent(call) { URGENT_QUEUE } else { 0 };
         load.running + load.waiting < load.slots + queue.min(load.slots)
     }
 
     pub(crate) fn urgent(&self, call: &Call) -> bool {
-        let routes = self.config.hosts.values().flatten();
-        let mut same = routes.filter(|route| {
-            let mut targets = route.targets.iter();
-            targets.any(|target| target.service == call.service)
-        });
-        same.all(|route| route.priority >= call.route.priority)
+        let lowest = self.lowest.get(&call.service);
+        lowest.is_some_and(|lowest| call.route.priority < *lowest)
     }
 
     fn take_cold(&mut self, now: Time, call: &Call, worker: Key) -> bool {
--- a/crates/call/tests/desk/overload.rs
+++ b/crates/call/tests/desk/overload.rs
@@ -3,7 +3,7 @@
 use {
     crate::scene::{Scene, bounds, health, route},
     call::{Action, Answer, Event, Policy, Refusal},
-    site::{Config, Kind},
+    site::{Config, Kind, Route},
     std::sync::Arc,
     unit::Span,
 };
@@ -28,29 +28,57 @@
     assert!(matches!(scene.refused(), Refusal::NotRun(_)));
 }
 
-#[test]
-fn only_requests_of_the_highest_rank_wait_at_a_worker() {
+/// A desk with one worker and a route for each of some ranks.
+fn ranked(ranks: &[u32]) -> (Scene, Vec<Arc<Route>>) {
     let mut scene = Scene::new(&["x"]);
-    let high = Arc::new(route("high", Kind::AtMostOnce));
-    let mut low = route("low", Kind::Idempotent);
-    low.priority = 2;
     let mut config = Config::default();
-    config.add("h", (*high).clone());
-    config.add("h", low.clone());
+    let mut routes = Vec::new();
+    for rank in ranks {
+        let mut route = route(&format!("rank-{rank}"), Kind::AtMostOnce);
+        route.priority = *rank;
+        config.add("h", route.clone());
+        routes.push(Arc::new(route));
+    }
     scene.desk.configure(Arc::new(config));
-    let busy = health(4, 1, 100);
-    scene.begin(&Arc::new(low));
-    let others = scene.pass_telling(Span::millis(250), &busy);
-    assert!(matches!(others[..], [Action::Refuse(..)]), "{others:?}");
-    scene.begin(&high);
-    let others = scene.pass_telling(Span::millis(250), &busy);
-    assert!(matches!(others[..], [Action::Send(..)]), "{others:?}");
+    (scene, routes)
+}
+
+/// Whether a request that meets a full worker, with one request in its queue, is sent there.
+fn waits_at_worker(scene: &mut Scene, route: &Arc<Route>) -> bool {
+    scene.begin(route);
+    let others = scene.pass_telling(Span::millis(250), &health(4, 1, 100));
+    match others[..] {
+        [Action::Send(..)] => true,
+        [Action::Refuse(..)] => false,
+        _ => panic!("{others:?}"),
+    }
+}
+
+#[test]
+fn only_requests_above_the_lowest_rank_wait_at_a_worker() {
+    let (mut scene, routes) = ranked(&[1, 2]);
+    assert!(waits_at_worker(&mut scene, &routes[0]));
+    assert!(!waits_at_worker(&mut scene, &routes[1]));
+}
+
+#[test]
+fn a_route_above_all_others_takes_no_rank_from_the_next() {
+    let (mut scene, routes) = ranked(&[0, 1, 2]);
+    assert!(waits_at_worker(&mut scene, &routes[0]));
+    assert!(waits_at_worker(&mut scene, &routes[1]));
+    assert!(!waits_at_worker(&mut scene, &routes[2]));
+}
+
+#[test]
+fn requests_of_one_rank_all_need_a_slot() {
+    let (mut scene, routes) = ranked(&[1]);
+    assert!(!waits_at_worker(&mut scene, &routes[0]));
 }
 
 #[test]
 fn even_the_highest_rank_never_fills_a_workers_queue() {
-    let mut scene = Scene::new(&["x"]);
-    scene.begin(&Arc::new(route("r", Kind::AtMostOnce)));
+    let (mut scene, routes) = ranked(&[1, 2]);
+    scene.begin(&routes[0]);
     let others = scene.pass_telling(Span::millis(250), &health(4, 2, 100));
     assert!(matches!(others[..], [Action::Refuse(..)]), "{others:?}");
 }
