A daemon that restarts finds its entry in an old list and writes nothing

Cause: each start made two calls at full price, the write of the entry (a conflict after a restart) and a fresh list. Ruled out: leaving out the fresh list at the first start (two new daemons could miss each other, and a partial list makes too many of them watch). Change: the first list may be old (a tenth of the price); only a daemon that it lacks writes its entry and reads a fresh list. An unanswered write still makes a daemon new.

--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -78,7 +78,7 @@
         let mut members = Vec::new();
         let mut after = None;
         loop {
-            let (objects, next) = self.read_page(&Call::ListMembers { after })?;
+            let (objects, next) = self.read_page(&Call::ListMembers { after, old: false })?;
             members.extend(objects.into_iter().filter_map(|object| match object {
                 Object::Member(_, entry) => Some(entry),
                 _ => None,
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -18,19 +18,21 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Looks for the own entry. A list that may be old is enough to find it after a restart, and cheap;
+    /// a daemon that is new finds none there.
     pub(crate) fn register(&mut self) {
-        if self.registration.entered {
-            self.list_members(None, Vec::new());
-            return;
-        }
+        self.list_members(None, Vec::new(), true);
+    }
+
+    fn create_member(&mut self) {
         let own = self.registration.own.clone();
         let call = self.call(Call::CreateMember(own), CALL_TIME);
         self.registration.stage = Stage::Creating(call);
     }
 
-    pub(crate) fn list_members(&mut self, after: Option<Name>, found: Vec<(Rev, MemberEntry)>) {
-        let call = self.call(Call::ListMembers { after }, CALL_TIME);
-        self.registration.stage = Stage::Listing { call, found };
+    fn list_members(&mut self, after: Option<Name>, found: Vec<(Rev, MemberEntry)>, old: bool) {
+        let call = self.call(Call::ListMembers { after, old }, CALL_TIME);
+        self.registration.stage = Stage::Listing { call, found, old };
     }
 
     pub(crate) fn member_failed(&mut self, now: Time) {
@@ -48,7 +50,7 @@
                 let new = reply == Reply::Done || lost;
                 self.registration.entered = true;
                 self.actions.push(Action::News(News::Registered(new)));
-                self.list_members(None, Vec::new());
+                self.list_members(None, Vec::new(), false);
             }
             Reply::Page { next, objects, .. } => self.member_page(now, next, objects),
             Reply::Compacted | Reply::Events(..) | Reply::NotFound | Reply::Refused(_) => {
@@ -57,11 +59,11 @@
         }
     }
 
-    pub(crate) fn member_page(&mut self, now: Time, next: Option<Name>, objects: Vec<Object>) {
-        let Stage::Listing { found, .. } = &mut self.registration.stage else {
+    fn member_page(&mut self, now: Time, next: Option<Name>, objects: Vec<Object>) {
+        let Stage::Listing { found, old, .. } = &mut self.registration.stage else {
             return;
         };
-        let mut found = std::mem::take(found);
+        let (mut found, old) = (std::mem::take(found), *old);
         for object in objects {
             match object {
                 Object::Member(rev, entry) => found.push((rev, entry)),
@@ -72,19 +74,32 @@
             }
         }
         if next.is_some() {
-            self.list_members(next, found);
+            self.list_members(next, found, old);
             return;
         }
         let own = self.registration.own.clone();
-        let other = found
-            .iter()
-            .find(|(_, entry)| entry.name == own.name && *entry != own)
-            .map(|(rev, _)| *rev);
-        self.registration.stage = match other {
-            Some(rev) => Stage::Replacing(self.call(Call::ReplaceMember(own, rev), CALL_TIME)),
-            // The list is read again now and then, so that entries of daemons that are gone end.
-            None => Stage::Pause(now + REFRESH.scale(0.5 + self.rng.f64())),
-        };
+        let same = found.iter().find(|(_, entry)| entry.name == own.name);
+        match same {
+            Some((rev, entry)) if *entry != own => {
+                let call = self.call(Call::ReplaceMember(own, *rev), CALL_TIME);
+                self.registration.stage = Stage::Replacing(call);
+            }
+            // Who else is there is read again after the own entry is written, so that of two daemons
+            // that are new at least one sees the other.
+            None if old => {
+                self.create_member();
+                return;
+            }
+            _ => {
+                if !self.registration.entered {
+                    let new = self.registration.lost;
+                    self.registration.entered = true;
+                    self.actions.push(Action::News(News::Registered(new)));
+                }
+                // The list is read again now and then, so that entries of daemons that are gone end.
+                self.registration.stage = Stage::Pause(now + REFRESH.scale(0.5 + self.rng.f64()));
+            }
+        }
         self.actions.push(Action::News(News::Members(found)));
     }
 }
--- a/crates/store/src/registration.rs
+++ b/crates/store/src/registration.rs
@@ -14,6 +14,8 @@
     Listing {
         call: CallId,
         found: Vec<(Rev, MemberEntry)>,
+        /// Whether the answer may be some seconds old.
+        old: bool,
     },
     /// The next call is due at a moment.
     Pause(Time),
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -48,10 +48,8 @@
     fn registered() -> Self {
         let mut scene = Self::new();
         scene.pass(Span::ZERO);
-        scene.answer(
-            |call| matches!(call, Call::CreateMember(_)),
-            Ok(Reply::Done),
-        );
+        scene.answer(is_old_list, Ok(page(Vec::new(), 1)));
+        scene.answer(is_create, Ok(Reply::Done));
         let own = Object::Member(Rev(2), entry("front-a-1", 1));
         scene.answer(is_member_list, Ok(page(vec![own], 2)));
         scene.news.clear();
@@ -115,6 +113,14 @@
     matches!(call, Call::ListMembers { .. })
 }
 
+fn is_old_list(call: &Call) -> bool {
+    matches!(call, Call::ListMembers { old: true, .. })
+}
+
+fn is_create(call: &Call) -> bool {
+    matches!(call, Call::CreateMember(_))
+}
+
 fn is_list(wanted: Topic) -> impl Fn(&Call) -> bool {
     move |call| matches!(call, Call::List { topic, .. } if *topic == wanted)
 }
@@ -134,10 +140,8 @@
 fn registers_and_learns_of_the_others() {
     let mut scene = Scene::new();
     scene.pass(Span::ZERO);
-    scene.answer(
-        |call| matches!(call, Call::CreateMember(_)),
-        Ok(Reply::Done),
-    );
+    scene.answer(is_old_list, Ok(page(Vec::new(), 1)));
+    scene.answer(is_create, Ok(Reply::Done));
     let found = [entry("front-a-1", 1), entry("front-b-1", 2)];
     let objects = found
         .iter()
@@ -151,14 +155,26 @@
 }
 
 #[test]
-fn a_restarted_daemon_knows_that_the_others_know_it() {
+fn a_restarted_daemon_writes_nothing_and_knows_that_the_others_know_it() {
     let mut scene = Scene::new();
     scene.pass(Span::ZERO);
-    scene.answer(
-        |call| matches!(call, Call::CreateMember(_)),
-        Ok(Reply::Conflict),
-    );
+    let own = Object::Member(Rev(2), entry("front-a-1", 1));
+    scene.answer(is_old_list, Ok(page(vec![own], 2)));
+    let [News::Registered(false), News::Members(_)] = &scene.news[..] else {
+        panic!("{:?}", scene.news);
+    };
+    assert!(scene.calls.is_empty());
+}
+
+#[test]
+fn a_restarted_daemon_that_an_old_list_lacks_finds_its_entry_as_it_writes_it() {
+    let mut scene = Scene::new();
+    scene.pass(Span::ZERO);
+    scene.answer(is_old_list, Ok(page(Vec::new(), 1)));
+    scene.answer(is_create, Ok(Reply::Conflict));
     assert_eq!(scene.news, [News::Registered(false)]);
+    let fresh = |call: &Call| matches!(call, Call::ListMembers { old: false, .. });
+    assert!(scene.has(fresh));
 }
 
 #[test]
@@ -179,27 +195,33 @@
 fn a_lost_answer_to_the_registration_is_settled_by_the_next_try() {
     let mut scene = Scene::new();
     scene.pass(Span::ZERO);
-    scene.answer(
-        |call| matches!(call, Call::CreateMember(_)),
-        Err(Failure::Late),
-    );
+    scene.answer(is_old_list, Ok(page(Vec::new(), 1)));
+    scene.answer(is_create, Err(Failure::Late));
     scene.pass(Span::secs(1));
-    scene.answer(
-        |call| matches!(call, Call::CreateMember(_)),
-        Ok(Reply::Conflict),
-    );
+    scene.answer(is_old_list, Ok(page(Vec::new(), 1)));
+    scene.answer(is_create, Ok(Reply::Conflict));
     assert!(scene.news.contains(&News::Registered(true)));
     assert!(scene.has(is_member_list));
 }
 
+#[test]
+fn a_daemon_whose_write_was_done_unanswered_is_new_all_the_same() {
+    let mut scene = Scene::new();
+    scene.pass(Span::ZERO);
+    scene.answer(is_old_list, Ok(page(Vec::new(), 1)));
+    scene.answer(is_create, Err(Failure::Late));
+    scene.pass(Span::secs(1));
+    let own = Object::Member(Rev(2), entry("front-a-1", 1));
+    scene.answer(is_old_list, Ok(page(vec![own], 2)));
+    assert!(scene.news.contains(&News::Registered(true)));
+}
+
 #[test]
 fn an_entry_of_another_address_under_the_own_name_is_replaced() {
     let mut scene = Scene::new();
     scene.pass(Span::ZERO);
-    scene.answer(
-        |call| matches!(call, Call::CreateMember(_)),
-        Ok(Reply::Conflict),
-    );
+    scene.answer(is_old_list, Ok(page(Vec::new(), 1)));
+    scene.answer(is_create, Ok(Reply::Conflict));
     let old = Object::Member(Rev(2), entry("front-a-1", 9));
     scene.answer(is_member_list, Ok(page(vec![old], 2)));
     let replaced =
