Watchers gather changes for 300 ms

Ruled out by the bounds: news is 180 ms later, and a draining worker is used 300 ms after it is known; the tightest bound (2 s from the acknowledgement of a drain) holds with 0.8 s in the usual case. A store that falls silent is noticed by another call, which this does not touch. Change: the pause between two watches is 300 ms in place of 120.

--- a/crates/store/src/topics.rs
+++ b/crates/store/src/topics.rs
@@ -17,7 +17,7 @@
 const WATCH_SLACK: Span = Span::millis(1_500);
 /// The pause between the answer to a watch and the next, so that changes that come together are
 /// told together.
-const GATHER: Span = Span::millis(120);
+const GATHER: Span = Span::millis(300);
 
 impl Client {
     /// Reads a topic of which nothing is known, and watches any other.
