--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -9,6 +9,7 @@
 mod event;
 mod id;
 mod note;
+mod offers;
 mod policy;
 mod search;
 mod sending;
--- a/crates/call/src/search.rs
+++ b/crates/call/src/search.rs
@@ -6,14 +6,12 @@
         call::{Ask, Call, Offer, Search},
         desk::Desk,
     },
-    pick::{Key, Standing, Table, Wanted},
-    site::{Health, Load},
+    pick::{Key, Standing, Wanted},
+    site::Health,
     std::cmp::Reverse,
     unit::{Span, Time},
 };
 
-/// Requests beyond its slots that a worker gets from requests above the lowest rank.
-const URGENT_QUEUE: u32 = 2;
 /// How long a worker that was warm is taken for warm without being asked. It may turn cold at any
 /// moment, and what all daemons send it before they notice counts.
 const WARM_FOR: Span = Span::millis(30);
@@ -21,9 +19,6 @@
 const UNASKED: u32 = 2;
 /// How long a worker that answered is taken for alive without being asked.
 const ALIVE_FOR: Span = Span::millis(500);
-/// The part of what is left of the objective within which an answer must be expected for a worker
-/// to be taken at once.
-const FIT: f64 = 0.9;
 /// How many times the typical work must still fit into the objective while a request waits for a
 /// better worker.
 const WAIT_MARGIN: f64 = 1.4;
@@ -167,14 +162,16 @@
         true
     }
 
+    /// The question that waits for word on a connection, which ends it, and whose it is.
+    fn take_ask(&mut self, link: LinkId) -> Option<(CallId, Ask)> {
+        let id = self.links.get(&link).copied()?;
+        let call = self.calls.get_mut(&id)?;
+        let ask = call.ask.take_if(|ask| ask.link == link)?;
+        Some((id, ask))
+    }
+
     pub(crate) fn opened(&mut self, now: Time, link: LinkId, result: Result<(), AskFailure>) {
-        let Some(id) = self.links.get(&link).copied() else {
-            return;
-        };
-        let Some(call) = self.calls.get_mut(&id) else {
-            return;
-        };
-        let Some(ask) = call.ask.take_if(|ask| ask.link == link) else {
+        let Some((id, ask)) = self.take_ask(link) else {
             return;
         };
         if let Err(failure) = result {
@@ -186,7 +183,9 @@
             self.search(now, id);
             return;
         }
-        let call = call.clone();
+        let Some(call) = self.calls.get(&id).cloned() else {
+            return;
+        };
         let work = *self.work(&call);
         let Some(belief) = self.table.get(ask.worker) else {
             self.drop_link(link);
@@ -205,13 +204,7 @@
     }
 
     pub(crate) fn asked(&mut self, now: Time, link: LinkId, health: Result<Health, AskFailure>) {
-        let Some(id) = self.links.get(&link).copied() else {
-            return;
-        };
-        let Some(call) = self.calls.get_mut(&id) else {
-            return;
-        };
-        let Some(ask) = call.ask.take_if(|ask| ask.link == link) else {
+        let Some((id, ask)) = self.take_ask(link) else {
             return;
         };
         match health {
@@ -227,104 +220,6 @@
         }
     }
 
-    /// Weighs what a worker said of itself.
-    pub(crate) fn room(&mut self, now: Time, id: CallId, ask: Ask, health: &Health) {
-        let Some(belief) = self.table.get(ask.worker) else {
-            self.drop_link(ask.link);
-            self.search(now, id);
-            return;
-        };
-        if health.id.as_ref().is_some_and(|id| *id != belief.worker.id) {
-            self.table.misdirected(ask.worker, now);
-            self.drop_link(ask.link);
-            self.passed(now, id, ask.worker, None, health.load);
-            self.search(now, id);
-            return;
-        }
-        self.table.health(ask.worker, now, health);
-        let Some(offer) = self.offer(now, id, ask, health) else {
-            self.release(ask.link);
-            self.passed(now, id, ask.worker, None, health.load);
-            self.search(now, id);
-            return;
-        };
-        let Some(call) = self.calls.get_mut(&id) else {
-            return;
-        };
-        let good = offer.expected <= call.left(now).scale(FIT) && health.healthy;
-        let worse = call.offer.replace(offer).map(|old| {
-            if old.expected <= offer.expected {
-                (old, offer)
-            } else {
-                (offer, old)
-            }
-        });
-        if let Some((better, worse)) = worse {
-            call.offer = Some(better);
-            self.decline(&worse);
-            self.passed(now, id, worse.worker, None, worse.load);
-        }
-        if good {
-            self.settle(now, id);
-        } else {
-            self.search(now, id);
-        }
-    }
-
-    /// What the worker offers; `None` where the request may not go there.
-    pub(crate) fn offer(
-        &mut self,
-        now: Time,
-        id: CallId,
-        ask: Ask,
-        health: &Health,
-    ) -> Option<Offer> {
-        let call = self.calls.get(&id)?.clone();
-        if self.table.standing(ask.worker, now) == Standing::Barred {
-            return None;
-        }
-        if let Some(load) = health.load
-            && !self.has_room(&call, load)
-        {
-            return None;
-        }
-        let cold = health.cold > Span::ZERO;
-        if cold && !self.take_cold(now, &call, ask.worker) {
-            return None;
-        }
-        let work = *self.work(&call);
-        let belief = self.table.get(ask.worker)?;
-        Some(Offer {
-            cold,
-            expected: belief.expected(now, &work),
-            link: ask.link,
-            load: health.load,
-            permit: cold.then_some(now),
-            worker: ask.worker,
-        })
-    }
-
-    /// Requests above the lowest rank of their service may wait at a worker, others need a free slot.
-    /// Under more load than the workers bear, this serves the higher ranks first.
-    pub(crate) fn has_room(&self, call: &Call, load: Load) -> bool {
-        let queue = if self.urgent(call) { URGENT_QUEUE } else { 0 };
-        load.running + load.waiting < load.slots + queue.min(load.slots)
-    }
-
-    pub(crate) fn urgent(&self, call: &Call) -> bool {
-        let lowest = self.lowest.get(&call.service);
-        lowest.is_some_and(|lowest| call.route.priority < *lowest)
-    }
-
-    fn take_cold(&mut self, now: Time, call: &Call, worker: Key) -> bool {
-        let Some(service) = self.config.services.get(&call.service) else {
-            return false;
-        };
-        let bounds = &self.policy.bounds;
-        let bound = Table::cold_bound(service, bounds.cold_factor, bounds.cold_slack);
-        self.table.take_cold(worker, now, bound)
-    }
-
     /// Takes the best offer, waits for a better one, or gives up.
     pub(crate) fn settle(&mut self, now: Time, id: CallId) {
         let Some(call) = self.calls.get(&id).cloned() else {
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -1,6 +1,7 @@
 //! What a daemon believes of each worker, and in which order it asks them for room.
 
 mod belief;
+mod choice;
 mod key;
 mod outcome;
 mod table;
@@ -9,9 +10,10 @@
 
 pub use {
     belief::{Belief, Standing},
+    choice::{Choice, Wanted},
     key::Key,
     outcome::Outcome,
-    table::{Choice, Table, Wanted},
+    table::Table,
     typical::Typical,
     work::Work,
 };
