--- a/crates/call/tests/desk/cold.rs
+++ b/crates/call/tests/desk/cold.rs
@@ -15,14 +15,19 @@
     }
 }
 
-#[test]
-fn a_cold_worker_gets_no_more_from_a_daemon_than_its_share() {
-    let mut scene = Scene::new(&["x"]);
+/// Makes the daemon one of thirteen.
+fn join_twelve(scene: &mut Scene) {
     let names = (1..13).map(|number| format!("front-b-{number}"));
     let members: Map<Name, Name> = names
         .map(|name| (name.as_str().into(), "b".into()))
         .collect();
     scene.desk.table.set_members(members);
+}
+
+#[test]
+fn a_cold_worker_gets_no_more_from_a_daemon_than_its_share() {
+    let mut scene = Scene::new(&["x"]);
+    join_twelve(&mut scene);
     let route = Arc::new(route("r", Kind::Idempotent));
     let mut sent = 0;
     for _ in 0..50 {
@@ -42,11 +47,7 @@
     let mut policy = Policy::new(bounds());
     policy.bounds.probes = 4.0;
     let mut scene = Scene::with_policy(&["x"], policy);
-    let names = (1..13).map(|number| format!("front-b-{number}"));
-    let members: Map<Name, Name> = names
-        .map(|name| (name.as_str().into(), "b".into()))
-        .collect();
-    scene.desk.table.set_members(members);
+    join_twelve(&mut scene);
     let route = Arc::new(route("r", Kind::Idempotent));
     let (mut asked, mut unasked) = (0, 0);
     for _ in 0..100 {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -6,41 +6,38 @@
         daemon::Daemon,
         event,
         listeners::Door,
-        options::{CALLER_PART, COME_BACK, RESERVED_DESCRIPTORS},
+        options::{CALLER_PART, RESERVED_DESCRIPTORS},
         requests::Ticket,
     },
-    call::{Begin, CallId, Event},
-    peer::Stage,
+    call::{CallId, Event},
     platform::final_answer,
     serde_json::json,
-    site::{ClientLimits, Route},
-    std::{collections::VecDeque, sync::Arc},
+    site::ClientLimits,
+    std::collections::VecDeque,
     unit::Time,
-    wire::{Ending, Limits, Request, RequestReader, Response, WireError},
+    wire::{Ending, Limits, RequestReader, Response},
 };
 
-const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-
 /// A request whose answer is due on a connection.
 #[derive(Debug)]
-struct Slot {
+pub(crate) struct Slot {
     /// The answer as it goes out, once there is one.
-    answer: Option<Vec<u8>>,
+    pub(crate) answer: Option<Vec<u8>>,
     /// The request; `None` where it is answered without a worker.
-    call: Option<CallId>,
+    pub(crate) call: Option<CallId>,
     /// Whether the connection ends after its answer.
-    last: bool,
+    pub(crate) last: bool,
 }
 
 /// A caller's connection. Its requests are worked on at once and answered in their order.
 #[derive(Debug)]
 pub(crate) struct Caller {
     /// Whether no further requests are read.
-    closing: bool,
+    pub(crate) closing: bool,
     /// When the first byte of a request arrived that isn't whole yet.
-    begun: Option<Time>,
-    reader: RequestReader,
-    slots: VecDeque<Slot>,
+    pub(crate) begun: Option<Time>,
+    pub(crate) reader: RequestReader,
+    pub(crate) slots: VecDeque<Slot>,
 }
 
 impl Daemon {
@@ -170,131 +167,21 @@
         }
     }
 
-    fn caller(&mut self, place: usize) -> Option<&mut Caller> {
+    pub(crate) fn caller(&mut self, place: usize) -> Option<&mut Caller> {
         match &mut self.conns.get_mut(place)?.kind {
             Kind::Caller(caller) => Some(caller),
             _ => None,
         }
     }
 
-    fn take_requests(&mut self, now: Time, place: usize) {
-        loop {
-            let Some(caller) = self.caller(place) else {
-                return;
-            };
-            if caller.closing {
-                return;
-            }
-            match caller.reader.take() {
-                Ok(Some(request)) => {
-                    caller.begun = None;
-                    self.take_request(now, place, request);
-                }
-                Ok(None) => {
-                    let begun = caller.reader.begun();
-                    caller.begun = begun.then(|| caller.begun.unwrap_or(now));
-                    if caller.slots.is_empty() && caller.reader.continue_due() {
-                        // A failure shows when the connection is next read.
-                        let _ = self.write(place, CONTINUE, now);
-                    }
-                    return;
-                }
-                Err(error) => {
-                    self.bad_request(now, place, error);
-                    return;
-                }
-            }
-        }
-    }
-
-    fn bad_request(&mut self, now: Time, place: usize, error: WireError) {
-        if let Some(caller) = self.caller(place) {
-            caller.closing = true;
-        }
-        let fields = json!({"status": error.status(), "reason": error.to_string()});
-        self.tell(now, event::REQUEST_BAD, fields);
-        let answer = final_answer(error.status(), &error.to_string(), None, None);
-        self.own_answer(now, place, answer, true);
-    }
-
-    fn take_request(&mut self, now: Time, place: usize, request: Request) {
-        self.metrics.requests.inc();
-        let last = request.last() || self.stage == Stage::Leaving;
-        if last && let Some(caller) = self.caller(place) {
-            caller.closing = true;
-        }
-        let head = match platform::read_client(&request) {
-            Ok(head) => head,
-            Err(error) => {
-                let fields = json!({"status": 400, "reason": error.to_string()});
-                self.tell(now, event::REQUEST_BAD, fields);
-                let answer = final_answer(400, &error.to_string(), None, None);
-                self.own_answer(now, place, answer, last);
-                return;
-            }
-        };
-        let route = match self.route(now, &head.host, request.path()) {
-            Ok(route) => route,
-            Err((status, reason)) => {
-                let retry = (status == 503).then_some(COME_BACK);
-                let fields = json!({
-                    "request": head.id,
-                    "status": status,
-                    "reason": reason,
-                    "config": self.config.as_ref().map(|config| config.version),
-                    "age_ms": self.roster.age(now, &self.own()).as_millis(),
-                });
-                self.tell(now, event::REQUEST_BAD, fields);
-                let answer = final_answer(status, reason, Some(&head.id), retry);
-                self.own_answer(now, place, answer, last);
-                return;
-            }
-        };
-        let id = CallId(self.next_call);
-        self.next_call += 1;
-        let Some(conn) = self.conns.get(place) else {
-            return;
-        };
-        let ticket = Ticket {
-            began: now,
-            head: request.method == "HEAD",
-            id: head.id.as_str().into(),
-            place,
-            request,
-            serial: conn.serial,
-        };
-        self.calls.insert(id, ticket);
-        if let Some(caller) = self.caller(place) {
-            caller.slots.push_back(Slot {
-                answer: None,
-                call: Some(id),
-                last,
-            });
-        }
-        let begin = Begin {
-            call: id,
-            deadline: head.deadline,
-            route,
-        };
-        self.decide(now, Event::Begin(begin));
-    }
-
-    /// The route of a request, or the status and the reason for which it isn't served.
-    fn route(&self, now: Time, host: &str, path: &str) -> Result<Arc<Route>, (u16, &'static str)> {
-        if !self.shutdown.takes(now, &self.settings.bounds) {
-            return Err((503, "this daemon is stopping; use another"));
-        }
-        let Some(config) = &self.config else {
-            return Err((503, "no configuration is known yet"));
-        };
-        let route = config.route(host, path);
-        route
-            .cloned()
-            .ok_or((404, "no route has this host and path"))
-    }
-
     /// Queues an answer that no worker gave.
-    fn own_answer(&mut self, now: Time, place: usize, mut response: Response, last: bool) {
+    pub(crate) fn own_answer(
+        &mut self,
+        now: Time,
+        place: usize,
+        mut response: Response,
+        last: bool,
+    ) {
         self.metrics.own_answers(response.status);
         response.last = last;
         let mut out = Vec::new();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! actions that they answer with.
 
 mod admin;
+mod admission;
 mod answers;
 mod arguments;
 mod callers;
