--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -8,11 +8,12 @@
         ports::free_ports,
         process::Process,
         proxy::Proxy,
+        settings::settings,
         sites::{SERVICE, config},
         store::Store,
         upstream::Upstream,
     },
-    conf::{Bounds, Listen, Settings},
+    conf::Settings,
     nix::sys::signal::Signal,
     platform::{SETTINGS_VARIABLE, mirror::encode_settings},
     std::{
@@ -24,14 +25,9 @@
         sync::atomic::{AtomicU32, Ordering},
         time::{Duration, Instant},
     },
-    unit::{Name, Span},
+    unit::Name,
 };
 
-const CALLERS: u16 = 0;
-const READY: u16 = 1;
-const DIRECTORY: u16 = 2;
-const OPERATORS: u16 = 3;
-const PEERS: u16 = 4;
 const CONNECT: Duration = Duration::from_millis(500);
 const LOOK: Duration = Duration::from_millis(20);
 /// How long a fleet may take to become ready.
@@ -323,42 +319,3 @@
     conn.read_to_string(&mut text)?;
     Ok(text)
 }
-
-fn settings(
-    name: &str,
-    centre: &str,
-    ip: Ipv4Addr,
-    base: u16,
-    store: SocketAddrV4,
-    seed: Ipv4Addr,
-) -> Settings {
-    let address = |port| SocketAddrV4::new(ip, base + port);
-    let name: Name = name.into();
-    Settings {
-        bounds: Bounds {
-            cold_factor: 1.5,
-            cold_slack: 5.0,
-            drain: Span::secs(2),
-            grace: Span::secs(6),
-            keep: Span::secs(5),
-            probes: 60.0,
-            retry_extra: 56.0,
-            retry_ratio: 0.2,
-            retry_window: Span::secs(10),
-        },
-        centre: centre.into(),
-        descriptors: 4_100,
-        ip,
-        listen: Listen {
-            callers: address(CALLERS),
-            directory: address(DIRECTORY),
-            operators: Some(address(OPERATORS)),
-            ready: address(READY),
-        },
-        name,
-        peer_ports: (base + PEERS, base + PEERS),
-        region: "region".into(),
-        seeds: vec![seed],
-        store,
-    }
-}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod process;
 mod proxy;
 mod server;
+mod settings;
 mod sites;
 mod soak;
 mod store;
