--- a/crates/standin/src/soak/acts.rs
+++ b/crates/standin/src/soak/acts.rs
@@ -92,13 +92,13 @@
             Fault::Worker(..) | Fault::WorkerLink(..) | Fault::WorkerSlow(_) => {
                 self.mend(active.worker.as_ref());
             }
+            Fault::WorkerLeaves(_) => self.rewrite(active.worker.as_ref()),
             Fault::Compact
             | Fault::Config
             | Fault::LoseAnswers
             | Fault::Reload(_)
             | Fault::WorkerCold(_)
-            | Fault::WorkerDies(_)
-            | Fault::WorkerLeaves(_) => {}
+            | Fault::WorkerDies(_) => {}
         }
         if active.fault.unsettles() {
             self.history.unsettled.push(spell(active, ()));
@@ -112,13 +112,24 @@
 
     fn worker_of(&self, fault: Fault) -> Option<Name> {
         match fault {
-            Fault::Worker(at, _) | Fault::WorkerLink(at, _) | Fault::WorkerSlow(at) => {
-                Some(self.worker(at).entry.id.clone())
-            }
+            Fault::Worker(at, _)
+            | Fault::WorkerLeaves(at)
+            | Fault::WorkerLink(at, _)
+            | Fault::WorkerSlow(at) => Some(self.worker(at).entry.id.clone()),
             _ => None,
         }
     }
 
+    /// Changes the entry of a worker that leaves once more.
+    fn rewrite(&self, id: Option<&Name>) {
+        let same = |worker: &&Upstream| Some(&worker.entry.id) == id;
+        if let Some(worker) = self.fleet.workers.iter().find(same) {
+            let mut entry = worker.draining();
+            entry.beats += 1;
+            self.fleet.store.put_worker(&entry);
+        }
+    }
+
     /// Makes a worker well, where it is still there.
     fn mend(&self, id: Option<&Name>) {
         let same = |worker: &&Upstream| Some(&worker.entry.id) == id;
