--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -1,6 +1,6 @@
 use {
     derive_more::{Display, Error, From},
-    std::io,
+    std::{io, path::PathBuf},
 };
 
 /// Why a stand-in could not do its work.
@@ -14,6 +14,15 @@
     #[display("{_0}")]
     #[from(skip)]
     Late(#[error(not(source))] String),
+    /// A program could not be started.
+    #[display("can't start {}: {source}; build it first, or name another with --program", path.display())]
+    #[from(skip)]
+    Program {
+        /// The program.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
     /// A process could not be signalled.
     #[display("can't signal a process: {_0}")]
     #[from]
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -8,6 +8,7 @@
     },
     std::{
         fs::File,
+        io,
         path::Path,
         process::{Child, Command, ExitStatus, Stdio},
         time::{Duration, Instant},
@@ -38,7 +39,8 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
-            .spawn()?;
+            .spawn()
+            .map_err(|source| unstarted(program, source))?;
         Ok(Self { child })
     }
 
@@ -52,7 +54,8 @@
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
-            .spawn()?;
+            .spawn()
+            .map_err(|source| unstarted(program, source))?;
         Ok(Self { child })
     }
 
@@ -90,3 +93,8 @@
         let _ = self.child.wait();
     }
 }
+
+fn unstarted(program: &Path, source: io::Error) -> StandinError {
+    let path = program.to_owned();
+    StandinError::Program { path, source }
+}
