--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -19,7 +19,7 @@
 const FULL_ONE_IN: usize = 6;
 /// Heartbeats by which a daemon that begins its life is told of others by other data centres.
 const YOUNG: u32 = 25;
-/// Heartbeats by which one may be late and still count; others may have told of newer ones.
+/// Heartbeats by which one may be late and still count.
 const REORDER: u32 = 5;
 
 /// What this daemon says of itself.
@@ -176,35 +176,14 @@
             .collect()
     }
 
-    /// Takes in a heartbeat; asks its sender for what it knows further, and answers one that
-    /// begins its life.
+    /// Takes in a heartbeat; asks its sender for what it knows further, and answers one that begins its
+    /// life, that asks for daemons, or that told of some that aren't known here.
     pub fn hear(&mut self, now: Time, beat: &Beat, own: &Own) -> Vec<Action> {
         if beat.name == self.name {
             return Vec::new();
         }
-        let member = self
-            .members
-            .entry(beat.name.clone())
-            .or_insert_with(|| unheard(now, beat.centre.clone(), beat.ip));
-        let reborn = member.life != beat.life;
-        if !reborn && beat.count + REORDER < member.count {
+        let Some(reborn) = self.remember(now, beat) else {
             return Vec::new();
-        }
-        *member = Member {
-            age: Some((beat.age, now)),
-            centre: beat.centre.clone(),
-            entered: member.entered,
-            count: if reborn {
-                beat.count
-            } else {
-                beat.count.max(member.count)
-            },
-            heard: Some(now),
-            ip: beat.ip,
-            life: beat.life,
-            revs: beat.revs,
-            stage: beat.stage,
-            watch: beat.watch,
         };
         for contact in &beat.contacts {
             self.enter(
@@ -238,6 +217,33 @@
         actions
     }
 
+    /// Takes in what a daemon says of itself; tells whether it is in another life than before, and
+    /// nothing where newer word of it is known.
+    fn remember(&mut self, now: Time, beat: &Beat) -> Option<bool> {
+        let member = self
+            .members
+            .entry(beat.name.clone())
+            .or_insert_with(|| unheard(now, beat.centre.clone(), beat.ip));
+        let reborn = member.life != beat.life;
+        if !reborn && beat.count + REORDER < member.count {
+            return None;
+        }
+        let before = if reborn { 0 } else { member.count };
+        *member = Member {
+            age: Some((beat.age, now)),
+            centre: beat.centre.clone(),
+            entered: member.entered,
+            count: beat.count.max(before),
+            heard: Some(now),
+            ip: beat.ip,
+            life: beat.life,
+            revs: beat.revs,
+            stage: beat.stage,
+            watch: beat.watch,
+        };
+        Some(reborn)
+    }
+
     /// Takes in what another daemon heard; returns the hashes of names that aren't known here.
     fn hear_rows(&mut self, now: Time, rows: &[Row]) -> Vec<u32> {
         let mut rows: Map<u32, &Row> = rows.iter().map(|row| (row.key, row)).collect();
