--- a/crates/call/benches/ways.rs
+++ b/crates/call/benches/ways.rs
@@ -8,6 +8,8 @@
     reason = "an experiment that shares the harness of the tests"
 )]
 
+#[path = "../tests/town/daemon.rs"]
+mod daemon;
 #[path = "../tests/town/machine.rs"]
 mod machine;
 #[path = "../tests/town/report.rs"]
@@ -19,9 +21,10 @@
 
 use {
     call::Policy,
+    daemon::bounds,
     report::Report,
     shape::{Shape, reads, writes},
-    town::{Town, bounds},
+    town::Town,
     unit::Span,
 };
 
--- a/crates/call/tests/town/loads.rs
+++ b/crates/call/tests/town/loads.rs
@@ -1,8 +1,9 @@
 use {
     crate::{
+        daemon::bounds,
         report::Report,
         shape::{Shape, probes, reads, writes},
-        town::{Town, bounds},
+        town::Town,
     },
     call::Policy,
     unit::Span,
--- a/crates/call/tests/town/main.rs
+++ b/crates/call/tests/town/main.rs
@@ -7,6 +7,7 @@
     reason = "a test fails by panicking"
 )]
 
+mod daemon;
 mod loads;
 mod machine;
 mod report;
--- a/crates/call/tests/town/town.rs
+++ b/crates/call/tests/town/town.rs
@@ -2,17 +2,16 @@
 
 use {
     crate::{
+        daemon::{Caller, Daemon, bounds, route},
         machine::{Job, Machine},
         report::Report,
         shape::{Flow, Shape},
     },
-    call::{Action, Answer, Begin, CallId, Desk, Event, LinkId, Policy, Refusal, Told},
-    conf::Bounds,
+    call::{Action, Answer, Begin, CallId, Event, LinkId, Policy, Refusal, Told},
     fastrand::Rng,
-    pick::{Key, Table},
-    site::{ColdStart, Config, Kind, Route, Service, State, Target, Worker},
+    site::{Kind, Route},
     std::{collections::BTreeMap, sync::Arc},
-    unit::{Map, Name, Span, Time},
+    unit::{Map, Span, Time},
 };
 
 const STEP: Span = Span::millis(1);
@@ -21,14 +20,6 @@
 /// Time for the estimates to settle before anything counts.
 const WARM_UP: Span = Span::secs(2);
 
-/// A caller that waits for its answer.
-#[derive(Clone, Copy, Debug)]
-struct Caller {
-    first: Time,
-    flow: usize,
-    retries: u32,
-}
-
 #[derive(Debug)]
 enum Message {
     Arrive(usize, Job),
@@ -36,13 +27,6 @@
     ToDesk(usize, Event),
 }
 
-struct Daemon {
-    callers: Map<CallId, Caller>,
-    desk: Desk,
-    keys: Map<Key, usize>,
-    links: Map<LinkId, usize>,
-}
-
 /// A town that runs.
 pub(crate) struct Town {
     daemons: Vec<Daemon>,
@@ -61,96 +45,6 @@
     shape: Shape,
 }
 
-/// What the users of the towns allow.
-pub(crate) fn bounds() -> Bounds {
-    Bounds {
-        cold_factor: 1.5,
-        cold_slack: 5.0,
-        drain: Span::secs(2),
-        grace: Span::secs(6),
-        keep: Span::secs(5),
-        probes: 60.0,
-        retry_extra: 56.0,
-        retry_ratio: 0.2,
-        retry_window: Span::secs(10),
-    }
-}
-
-fn centre(at: usize, shape: &Shape) -> Name {
-    format!("centre-{}", at % shape.centres).as_str().into()
-}
-
-fn route(flow: &Flow) -> Route {
-    Route {
-        attempts: 3,
-        kind: flow.kind,
-        name: flow.name.into(),
-        objective: flow.objective,
-        prefix: format!("/{}/", flow.name).as_str().into(),
-        priority: flow.rank,
-        targets: vec![Target {
-            service: "s".into(),
-            weight: 1,
-        }],
-        timeout: Span::secs(3),
-    }
-}
-
-fn config(shape: &Shape) -> Config {
-    let mut config = Config::default();
-    let service = Service {
-        cold: ColdStart {
-            rate: 14.0,
-            span: Span::secs(3),
-        },
-        conns: 1_000,
-        health: "/healthz".into(),
-        name: "s".into(),
-    };
-    config.services.insert("s".into(), Arc::new(service));
-    for flow in &shape.flows {
-        config.add("h", route(flow));
-    }
-    config
-}
-
-fn worker(at: usize, shape: &Shape) -> Worker {
-    Worker {
-        address: "10.0.0.1:80".parse().expect("an address"),
-        beats: 1,
-        born: 1,
-        centre: centre(at, shape),
-        cold: Span::ZERO,
-        id: format!("worker-{at}").as_str().into(),
-        service: "s".into(),
-        slots: shape.slots,
-        state: State::Ready,
-    }
-}
-
-impl Daemon {
-    fn new(at: usize, shape: &Shape, policy: Policy, now: Time) -> Self {
-        let name = |at: usize| -> Name { format!("front-{at}").as_str().into() };
-        let mut table = Table::new(name(at), centre(at, shape));
-        let members = (0..shape.daemons).map(|at| (name(at), centre(at, shape)));
-        table.set_members(members.collect());
-        table.feed_cold_from(Some(now));
-        let mut keys = Map::default();
-        for at in 0..shape.workers {
-            keys.insert(table.enter(worker(at, shape), now), at);
-        }
-        let seed = shape.seed * 1_000 + at as u64;
-        let mut desk = Desk::new(policy, table, Rng::with_seed(seed));
-        desk.configure(Arc::new(config(shape)));
-        Self {
-            callers: Map::default(),
-            desk,
-            keys,
-            links: Map::default(),
-        }
-    }
-}
-
 impl Town {
     pub(crate) fn new(shape: &Shape, policy: Policy) -> Self {
         let now = Time::at(Span::secs(100));
