A store that comes back from an older copy: revisions have the store's era

Cause: the view ordered everything by revision within one count. After a restore a full list had a lower revision than what was known and was ignored whole, as were the changes that operators and workers wrote again, until the count had passed the old one.

Ruled out: forgetting everything in a new era (a drained or removed worker and a lifted evacuation would come back until written again, an evacuation would end); trusting what was known for good (what is not written again is gone).

Change: site::Rev is an era and a revision, ordered so, in everything that carries one. The store client lists the topics again in a new era, writes the daemon's entry again with one call, and takes missing workers for lapsed. The view holds evacuations, their ends and removed workers for 3 s against the copy.

Not done: models; versions of messages.

--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -52,7 +52,7 @@
 }
 
 /// Waits until every registered daemon that can be asked has `version` or a later one in force.
-/// Fails when the session's deadline passes first.
+/// Fails when the session's deadline passes first, or if the store has lost the version.
 pub(crate) fn wait_in_force(
     context: &Context,
     store: &StoreSession,
@@ -60,6 +60,7 @@
 ) -> Result<(), CliError> {
     loop {
         let daemons = daemon_statuses(store)?;
+        check_kept(store, version)?;
         let behind: Vec<String> = daemons
             .iter()
             .filter(|daemon| daemon.config.is_some_and(|current| current < version))
@@ -81,6 +82,19 @@
     }
 }
 
+/// Fails if the store has an older configuration than `version`, which it had acknowledged.
+fn check_kept(store: &StoreSession, version: u64) -> Result<(), CliError> {
+    let stored = store.config()?.map(|config| config.value.version);
+    if stored >= Some(version) {
+        return Ok(());
+    }
+    let message = format!(
+        "version {version} was published, but the store has lost it: it came back from an older \
+         copy; publish again"
+    );
+    Err(CliError::Failed(message))
+}
+
 fn daemon_statuses(store: &StoreSession) -> Result<Vec<DaemonStatus>, CliError> {
     let members = store.members()?;
     Ok(members.into_iter().map(daemon_status).collect())
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -134,6 +134,22 @@
     assert!(fixture.run_ok(&["dc", "out", "a"]).contains("is out"));
 }
 
+#[test]
+fn a_publication_that_the_store_loses_is_reported() {
+    let fixture = Fixture::new();
+    fixture.run_ok(&["publish", "."]);
+    fixture.store.back_up();
+    fixture.write("gallery.ini", &GALLERY.replace("/pictures/", "/images/"));
+    fixture.store.lose_next_write();
+    let (code, message) = fixture.run_failing(&["publish", "--wait", "."]);
+    assert_eq!(code, Some(1));
+    assert!(message.contains("older copy; publish again"), "{message}");
+    assert_eq!(
+        fixture.run_ok(&["publish", "--wait", "."]),
+        "published version 2\n"
+    );
+}
+
 #[test]
 fn evacuates_data_centres_and_ends_evacuations() {
     let fixture = Fixture::new();
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -21,9 +21,10 @@
             "age_ms": self.roster.staleness(now, &own).as_millis(),
             "watch": format!("{:?}", own.watch).to_lowercase(),
             "revs": {
-                "config": own.revs.config.0,
-                "evacuations": own.revs.evacuations.0,
-                "workers": own.revs.workers.0,
+                "era": own.revs.era().0,
+                "config": own.revs.config.number,
+                "evacuations": own.revs.evacuations.number,
+                "workers": own.revs.workers.number,
             },
             "evacuated": self.view.evacuations().collect::<Vec<_>>(),
             "members": self.members_json(now),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -4,7 +4,7 @@
     crate::{conn::ConnKind, constants::FETCH_TIMEOUT, daemon::Daemon, log_event},
     peer::{FetchRequest, FrameCodec, Heartbeat, OwnState, RosterAction, Stage, Watch},
     serde_json::json,
-    site::Change,
+    site::{Change, Rev},
     std::{
         io::ErrorKind,
         net::{Ipv4Addr, SocketAddr, SocketAddrV4},
@@ -50,6 +50,7 @@
     /// Sends the regular heartbeats, updates what depends on which daemons are alive, and prunes
     /// the worker table and the connection pools.
     pub(crate) fn heartbeat_tick(&mut self, now: Time) {
+        self.settle_view(now);
         let own = self.own_state();
         let actions = self.roster.tick(now, &own);
         self.run_roster_actions(now, actions);
@@ -174,7 +175,9 @@
     /// evacuations.
     pub(crate) fn check_ready(&mut self, now: Time) {
         let revs = self.view.revs();
-        let synced = self.config.is_some() && revs.workers.0 > 0 && revs.evacuations.0 > 0;
+        let synced = self.config.is_some()
+            && revs.workers > Rev::default()
+            && revs.evacuations > Rev::default();
         if synced && self.stage == Stage::Starting {
             self.stage = Stage::Ready;
             let fields = json!({"config": self.config.as_ref().map(|config| config.version)});
--- a/crates/daemon/src/store_conn.rs
+++ b/crates/daemon/src/store_conn.rs
@@ -10,7 +10,7 @@
     pick::WorkerKey,
     platform::{MemberEntry, StoreCall, encode_call},
     serde_json::json,
-    site::{Change, Config, Effect, Rev, Topic},
+    site::{Change, Config, Effect, Era, Rev, Topic},
     store::{Role, StoreAction, StoreCallError, StoreCallId, StoreEvent},
     unit::{Name, Set, Span, Time},
     wire::{ConnectionEnd, Limits, Response, ResponseReader},
@@ -67,7 +67,7 @@
                 }
                 StoreAction::Cancel(id) => {
                     if let Some(conn_key) = self.store_calls.remove(&id) {
-                        self.remove_conn(conn_key);
+                        self.remove_store_conn(conn_key);
                     }
                 }
                 StoreAction::Notify(event) => self.handle_store_event(now, event),
@@ -121,7 +121,7 @@
         let old_revs = self.view.revs();
         let effects = self.view.apply(change, now);
         for effect in effects {
-            self.apply_effect(now, effect, source, rev.0);
+            self.apply_effect(now, effect, source, rev);
         }
         if source != STORE_SOURCE && self.view.revs().of(topic) > old_revs.of(topic) {
             self.store.peer_ahead(topic, now);
@@ -135,10 +135,26 @@
             self.run_roster_actions(now, actions);
         }
         self.check_ready(now);
+        self.observe_era(now, self.view.revs().era());
+    }
+
+    /// Tells the store client of an era.
+    fn observe_era(&mut self, now: Time, era: Era) {
+        let actions = self.store.observe_era(now, era);
+        self.run_store_actions(now, actions);
+    }
+
+    /// Gives effect to what a copy of the store has said for long enough.
+    pub(crate) fn settle_view(&mut self, now: Time) {
+        let rev = self.view.revs().evacuations;
+        for effect in self.view.settle(now) {
+            self.apply_effect(now, effect, STORE_SOURCE, rev);
+        }
     }
 
     /// Logs an effect of a change and updates the worker table and the dispatcher.
-    fn apply_effect(&mut self, now: Time, effect: Effect, source: &str, rev: u64) {
+    fn apply_effect(&mut self, now: Time, effect: Effect, source: &str, rev: Rev) {
+        let rev = rev.to_string();
         match effect {
             Effect::Config(version) => {
                 self.config = self.view.config().cloned();
@@ -267,12 +283,21 @@
         let Some((id, call)) = conn.call.take() else {
             return;
         };
+        // The connection is free for other calls now, so cancelling this one must not close it.
+        self.store_calls.remove(&id);
         if response.closes_connection || ended {
             self.remove_store_conn(conn_key);
         } else {
             self.store_idle.push(conn_key);
             self.set_timer(conn_key, now + STORE_IDLE_TIMEOUT);
         }
+        match platform::store_era(response) {
+            Ok(era) => self.observe_era(now, era),
+            Err(error) => {
+                let fields = json!({"status": response.status, "reason": error.to_string()});
+                self.log_event(now, log_event::REPLY_UNREADABLE, fields);
+            }
+        }
         let departure = self.store.departure(now);
         let reply = platform::decode_reply(&call, response, departure);
         if let Err(error) = &reply {
@@ -343,6 +368,10 @@
                 self.dispatcher.table.allow_cold_from(Some(now + delay));
             }
             StoreEvent::Recovered => self.log_event(now, log_event::STORE_REGAINED, json!({})),
+            StoreEvent::Restored(era) => {
+                let fields = json!({"era": era.0});
+                self.log_event(now, log_event::STORE_RESTORED, fields);
+            }
             StoreEvent::Unreadable(name, reason) => {
                 let fields = json!({"object": name, "reason": reason.to_string()});
                 self.log_event(now, log_event::OBJECT_UNREADABLE, fields);
--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -37,6 +37,14 @@
     )
 }
 
+/// The ids of the requests that are answered in a connection's bytes, in their order.
+pub(crate) fn answered_ids(text: &str) -> Vec<&str> {
+    let lines = text.lines();
+    lines
+        .filter_map(|line| line.strip_prefix("Request-Id: "))
+        .collect()
+}
+
 #[test]
 fn pipelined_requests_are_answered_in_order() {
     let fleet = start_fleet();
@@ -48,11 +56,7 @@
         .map(|(at, id)| get("/pictures/1", id, at + 1 == ids.len()))
         .collect();
     let text = exchange(&fleet, requests.as_bytes());
-    let answered: Vec<&str> = text
-        .lines()
-        .filter_map(|line| line.strip_prefix("Request-Id: "))
-        .collect();
-    assert_eq!(answered, ids);
+    assert_eq!(answered_ids(&text), ids);
     assert_eq!(text.matches("HTTP/1.1 200").count(), ids.len());
 }
 
--- a/crates/daemon/tests/failures/downloads.rs
+++ b/crates/daemon/tests/failures/downloads.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        callers::{connect, get},
+        callers::{answered_ids, connect, get},
         support::{run_load_served, start_fleet, state_dump, wait_until},
     },
     socket2::SockRef,
@@ -87,13 +87,8 @@
     let responses = read_all(&mut conn);
     assert!(responses.len() > 6 * 2 * MIB);
     let text = String::from_utf8_lossy(&responses);
-    let answered: Vec<&str> = text
-        .lines()
-        .filter_map(|line| line.rsplit_once("Request-Id: "))
-        .map(|(_, id)| id)
-        .collect();
     let expected: Vec<String> = (0..6).map(|at| format!("kept-{at}")).collect();
-    assert_eq!(answered, expected);
+    assert_eq!(answered_ids(&text), expected);
 }
 
 #[test]
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -13,9 +13,14 @@
 
 /// Runs a soak with five daemons and asserts that it broke no invariant.
 fn soak(seed: u64, seconds: u64) {
+    run(seed, seconds, false);
+}
+
+fn run(seed: u64, seconds: u64, restores: bool) {
     let soak = Soak {
         daemons: 5,
         program: Path::new(env!("CARGO_BIN_EXE_anvilferryd")).to_owned(),
+        restores,
         seed,
         duration: Duration::from_secs(seconds),
     };
@@ -40,6 +45,18 @@
     soak(306, 8);
 }
 
+#[test]
+fn a_short_soak_with_restores_of_the_store_passes() {
+    run(20_261_205, 6, true);
+}
+
+/// Guards against a cancelled call to the store whose connection has been freed: its number was then
+/// used for a caller's connection, which was closed, and callers got no response.
+#[test]
+fn restores_of_the_store_close_no_connection_of_a_caller() {
+    run(7_003, 12, true);
+}
+
 #[test]
 fn another_short_soak_passes() {
     soak(41, 6);
--- a/crates/peer/tests/fleet/roster.rs
+++ b/crates/peer/tests/fleet/roster.rs
@@ -4,7 +4,7 @@
     crate::harness::{Fleet, Node, ip, name},
     fastrand::Rng,
     peer::{Roster, RosterAction, Watch},
-    site::Rev,
+    site::{Era, Rev},
     unit::{Name, Set, Span},
 };
 
@@ -121,7 +121,7 @@
 #[test]
 fn a_daemon_fetches_from_one_that_knows_later_revisions() {
     let mut fleet = Fleet::new(3);
-    fleet.nodes[1].own.revs.workers = Rev(7);
+    fleet.nodes[1].own.revs.workers = Rev::new(Era::default(), 7);
     fleet.run(20);
     assert!(fleet.nodes[0].fetched.contains(&ip(1)));
     assert!(fleet.nodes[1].fetched.is_empty());
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -22,7 +22,7 @@
     config::Config,
     departure::{DepartedWorker, Departure},
     health_report::{HealthReport, LoadReport},
-    revs::{Rev, Revs},
+    revs::{Era, Rev, Revs},
     route::{Route, Target},
     route_kind::RouteKind,
     service::{ColdStart, Service},
--- a/crates/site/src/revs.rs
+++ b/crates/site/src/revs.rs
@@ -1,4 +1,4 @@
-//! Revisions of the platform's store.
+//! Places in the history of the platform's store.
 
 use {
     crate::Topic,
@@ -6,11 +6,33 @@
     serde::{Deserialize, Serialize},
 };
 
-/// A revision of the platform's store; it grows with every change to any object.
+/// How often the platform's store has come back from an older copy. In each era it gives out again
+/// the revisions that it gave out after that copy was made.
 #[derive(
     Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
 )]
-pub struct Rev(pub u64);
+pub struct Era(pub u32);
+
+/// A place in the history of the platform's store. Those of a later era come after all of an
+/// earlier one.
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[display("{era}.{number}")]
+pub struct Rev {
+    // The order of the fields is that of the comparison.
+    /// The era that gave out the number.
+    pub era: Era,
+    /// The store's revision, which grows with every change to any object within an era.
+    pub number: u64,
+}
+
+impl Rev {
+    /// The revision `number` of an era.
+    pub const fn new(era: Era, number: u64) -> Self {
+        Self { era, number }
+    }
+}
 
 /// The revisions up to which the topics are known without gaps.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +65,12 @@
         *known = rev.max(*known);
     }
 
+    /// The latest era of any topic.
+    pub fn era(&self) -> Era {
+        let eras = Topic::ALL.iter().map(|topic| self.of(*topic).era);
+        eras.max().unwrap_or_default()
+    }
+
     /// Whether the revision of any topic is higher than in `other`.
     pub fn ahead(&self, other: &Self) -> bool {
         Topic::ALL
--- a/crates/standin/src/bin/soak.rs
+++ b/crates/standin/src/bin/soak.rs
@@ -18,6 +18,10 @@
     #[arg(long, default_value = "target/release/anvilferryd")]
     program: PathBuf,
 
+    /// Have the store come back from older copies now and then.
+    #[arg(long)]
+    restores: bool,
+
     /// The period in which faults begin.
     #[arg(long, default_value_t = 12, value_name = "SECONDS")]
     seconds: u64,
@@ -42,6 +46,7 @@
         let soak = Soak {
             daemons: arguments.daemons,
             program: arguments.program.clone(),
+            restores: arguments.restores,
             seed,
             duration: Duration::from_secs(arguments.seconds),
         };
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -21,6 +21,8 @@
     Pause(usize),
     /// Makes a daemon reload its settings with SIGHUP.
     Reload(usize),
+    /// Copies the store, and has it come back from the copy when the fault ends.
+    Restore,
     /// Sets a fault of the store.
     Store(StoreFault),
     /// Sets a fault of the proxy between a daemon and the store.
@@ -37,6 +39,8 @@
     WorkerDrains(usize),
     /// Sets a fault of the proxy in front of a worker.
     WorkerProxy(usize, ProxyFault),
+    /// Operators and workers write again what the store lost, when the fault ends.
+    WriteAgain,
     /// Makes a worker's machine five times as slow as usual, which its load reports show.
     WorkerSlow(usize),
 }
@@ -74,9 +78,11 @@
                 | Self::Kill(_)
                 | Self::DropResponses
                 | Self::Pause(_)
+                | Self::Restore
                 | Self::Store(_)
                 | Self::StoreProxy(..)
                 | Self::Term(_)
+                | Self::WriteAgain
         )
     }
 }
--- a/crates/standin/src/soak/injection.rs
+++ b/crates/standin/src/soak/injection.rs
@@ -14,13 +14,21 @@
         upstream::{Upstream, WorkerFault},
     },
     nix::sys::signal::Signal,
-    std::time::{Duration, Instant},
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
     unit::Name,
 };
 
 /// Timeout for a daemon to exit after SIGTERM, counted from the end of the fault.
 const STOP_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// How long the store is away before it comes back from a copy.
+const STORE_AWAY: Duration = Duration::from_millis(200);
+/// How soon operators and workers write again what the store has lost.
+const WRITING_DELAY: Duration = Duration::from_millis(1_500);
+
 impl Runner {
     /// Injects a fault that lasts for `length`. Does nothing if the fault needs a running daemon
     /// and another fault disturbs that daemon's process.
@@ -45,6 +53,8 @@
             Fault::Reload(index) if self.is_undisturbed(index % size) => {
                 self.fleet.signal(index % size, Signal::SIGHUP)?;
             }
+            Fault::Restore if self.is_restoring() => return Ok(()),
+            Fault::Restore => self.fleet.store.back_up(),
             Fault::Store(fault) => self.fleet.store.set_fault(fault),
             Fault::StoreProxy(index, fault) => {
                 self.fleet.store_proxies[index % size].set_fault(fault)
@@ -54,6 +64,7 @@
             }
             Fault::Kill(_) | Fault::Pause(_) | Fault::Reload(_) | Fault::Term(_) => return Ok(()),
             Fault::Worker(index, fault) => self.worker(index).set_fault(fault),
+            Fault::WriteAgain => {}
             Fault::WorkerCold(index) => self.worker(index).set_cold(length),
             Fault::WorkerDies(index) => self.replace_worker(index, false)?,
             Fault::WorkerDrains(index) => self.replace_worker(index, true)?,
@@ -90,6 +101,7 @@
                 self.fleet.signal(index % size, Signal::SIGCONT)?;
                 self.history.disrupted.push(interval(active, index % size));
             }
+            Fault::Restore => self.restore()?,
             Fault::Store(_) => self.fleet.store.set_fault(StoreFault::None),
             Fault::StoreProxy(index, _) => {
                 self.fleet.store_proxies[index % size].set_fault(ProxyFault::None)
@@ -101,6 +113,7 @@
             Fault::Worker(..) | Fault::WorkerProxy(..) | Fault::WorkerSlow(_) => {
                 self.clear_worker_faults(active.worker.as_ref());
             }
+            Fault::WriteAgain => self.fleet.store.write_again(),
             Fault::WorkerDrains(_) => self.update_draining_entry(active.worker.as_ref()),
             Fault::Compact
             | Fault::Config
@@ -115,6 +128,21 @@
         Ok(())
     }
 
+    /// Whether the store's copy is still needed.
+    fn is_restoring(&self) -> bool {
+        let restoring = |fault| matches!(fault, Fault::Restore | Fault::WriteAgain);
+        self.active.iter().any(|active| restoring(active.fault))
+    }
+
+    /// Has the store come back from its copy; what it lost is written again a little later.
+    fn restore(&mut self) -> Result<(), StandinError> {
+        self.fleet.store.set_fault(StoreFault::Closes);
+        thread::sleep(STORE_AWAY);
+        self.fleet.store.restore();
+        self.fleet.store.set_fault(StoreFault::None);
+        self.begin(Fault::WriteAgain, WRITING_DELAY)
+    }
+
     fn worker(&self, index: usize) -> &Upstream {
         &self.fleet.workers[index % self.fleet.workers.len()]
     }
--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -41,6 +41,8 @@
 /// Seeds that are multiples of this number run strict soaks, without faults that delay the
 /// propagation of the store's changes.
 const STRICT_INTERVAL: u64 = 3;
+/// In soaks with restores, one fault in this many is one.
+const RESTORE_INTERVAL: u32 = 5;
 /// The minimum duration of an evacuation.
 const MIN_EVACUATION: Duration = Duration::from_secs(7);
 /// How often the runner checks whether a fault is due to begin or end.
@@ -57,6 +59,8 @@
     pub daemons: usize,
     /// The path of the daemon's program.
     pub program: PathBuf,
+    /// Whether the store comes back from older copies now and then.
+    pub restores: bool,
     /// The seed of the random faults.
     pub seed: u64,
     /// The period in which faults begin.
@@ -84,6 +88,8 @@
     /// Whether faults that delay the propagation of the store's changes are left out, so that the
     /// bounds on the propagation time are checked all the time.
     strict: bool,
+    /// Whether the store comes back from older copies now and then.
+    restores: bool,
     rng: Rng,
     /// The version of the configuration published last.
     pub(crate) version: u64,
@@ -111,7 +117,8 @@
                 .collect(),
             history: History::default(),
             next_worker: fleet.workers.len(),
-            strict: self.seed.is_multiple_of(STRICT_INTERVAL),
+            strict: !self.restores && self.seed.is_multiple_of(STRICT_INTERVAL),
+            restores: self.restores,
             rng: Rng::with_seed(self.seed),
             version: 1,
             fleet,
@@ -193,6 +200,9 @@
 
     /// Draws a fault that may begin now.
     fn draw_fault(&mut self) -> Fault {
+        if self.restores && self.rng.u32(..RESTORE_INTERVAL) == 0 {
+            return Fault::Restore;
+        }
         loop {
             let fault = Fault::draw(&mut self.rng);
             let excluded = self.strict && fault.delays_propagation();
@@ -216,7 +226,8 @@
 
     /// Ends all faults and waits until the daemons are ready and serve everything.
     fn recover(&mut self) -> Result<(), StandinError> {
-        for active in std::mem::take(&mut self.active) {
+        // The end of a fault may begin another.
+        while let Some(active) = self.active.pop() {
             self.end(&active)?;
         }
         for index in 0..self.fleet.size() {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -5,7 +5,7 @@
     crate::server::{Reply, Server},
     platform::standin::{
         ReceivedCall, StoredObject, config_key, evacuation_kind, events_response, object_response,
-        page_response, read_store_call, worker_kind, worker_spec,
+        page_response, read_store_call, set_era, worker_kind, worker_spec,
     },
     serde_json::Value,
     site::{Config, Rev, Worker},
@@ -47,17 +47,37 @@
     object: StoredObject,
 }
 
+/// A change that was made by [`Store`]'s own methods, as by an operator or a worker.
+#[derive(Clone)]
+enum OwnWrite {
+    Put(String, Name, Value),
+    Remove(String, Name),
+}
+
+/// A copy of the store's objects, and what its own methods have written since.
+#[derive(Default)]
+struct Backup {
+    objects: BTreeMap<(String, Name), StoredObject>,
+    rev: Rev,
+    written: Vec<OwnWrite>,
+}
+
 /// The content of the store, and how it treats calls.
 #[derive(Default)]
 struct State {
+    backup: Backup,
     /// The number of calls so far.
     calls: u64,
     /// The newest revision whose history is compacted; watches from before it get status 410.
     compacted: Rev,
+    /// How often the store came back from a copy.
+    era: u32,
     /// The changes since the last compaction, in the order of their revisions.
     history: Vec<ObjectEvent>,
     /// The number of further writes that are executed without a response.
     unanswered: u32,
+    /// Whether the store comes back from its copy right after the next write.
+    loses_next: bool,
     fault: StoreFault,
     /// The objects by kind and name.
     objects: BTreeMap<(String, Name), StoredObject>,
@@ -88,7 +108,7 @@
     /// Fails if no port can be bound.
     pub fn start() -> io::Result<Self> {
         let shared: Arc<Shared> = Arc::default();
-        shared.lock().rev = Rev(1);
+        shared.lock().rev.number = 1;
         let handler_shared = Arc::clone(&shared);
         let handler =
             move |request: &Request, _: &std::net::TcpStream| handler_shared.handle(request);
@@ -146,6 +166,51 @@
         self.shared.changed.notify_all();
     }
 
+    /// Copies the objects, for [`Self::restore`].
+    pub fn back_up(&self) {
+        let mut state = self.shared.lock();
+        state.backup = Backup {
+            objects: state.objects.clone(),
+            rev: state.rev,
+            written: Vec::new(),
+        };
+    }
+
+    /// Raises the revision, as by writes to objects that no daemon follows.
+    pub fn skip_revisions(&self, count: u64) {
+        let mut state = self.shared.lock();
+        state.rev.number += count;
+    }
+
+    /// Goes back to the last copy, or to no objects if there is none, and closes all connections.
+    /// Revisions that were given out since are given out again.
+    pub fn restore(&self) {
+        self.shared.lock().restore();
+        self.server.close_connections();
+        self.shared.changed.notify_all();
+    }
+
+    /// Goes back to the last copy right after the next write that a client makes.
+    pub fn lose_next_write(&self) {
+        self.shared.lock().loses_next = true;
+    }
+
+    /// Writes again what this type's own methods wrote between the last copy and now, as operators
+    /// and workers do after a restore.
+    pub fn write_again(&self) {
+        let mut state = self.shared.lock();
+        for write in state.backup.written.clone() {
+            match write {
+                OwnWrite::Put(kind, name, spec) => {
+                    state.put(&kind, name, spec);
+                }
+                OwnWrite::Remove(kind, name) => state.remove(&kind, &name),
+            }
+        }
+        drop(state);
+        self.shared.changed.notify_all();
+    }
+
     /// Executes the next `count` writes that clients send without responding to them.
     pub fn drop_responses(&self, count: u32) {
         self.shared.lock().unanswered = count;
@@ -168,12 +233,20 @@
 
     /// Writes an object with any content, valid or not, as another client of the store could.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        self.shared.lock().put(kind, name.into(), spec);
+        let mut state = self.shared.lock();
+        let write = OwnWrite::Put(kind.to_owned(), name.into(), spec.clone());
+        state.backup.written.push(write);
+        state.put(kind, name.into(), spec);
+        drop(state);
         self.shared.changed.notify_all();
     }
 
     fn remove(&self, kind: &str, name: &str) {
-        self.shared.lock().remove(kind, &name.into());
+        let mut state = self.shared.lock();
+        let write = OwnWrite::Remove(kind.to_owned(), name.into());
+        state.backup.written.push(write);
+        state.remove(kind, &name.into());
+        drop(state);
         self.shared.changed.notify_all();
     }
 }
@@ -183,8 +256,19 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Executes a call and responds to it, unless the fault in force prevents that.
+    /// Executes a call and responds to it, with the store's era.
     fn handle(&self, request: &Request) -> Reply {
+        match self.execute(request) {
+            Reply::Response(mut response) => {
+                set_era(&mut response, self.lock().era);
+                Reply::Response(response)
+            }
+            other => other,
+        }
+    }
+
+    /// Executes a call and responds to it, unless the fault in force prevents that.
+    fn execute(&self, request: &Request) -> Reply {
         let fault = {
             let mut state = self.lock();
             state.calls += 1;
@@ -206,6 +290,9 @@
         let mut state = self.lock();
         let write = !matches!(call, ReceivedCall::List { .. });
         let response = state.apply(call);
+        if write && std::mem::take(&mut state.loses_next) {
+            state.restore();
+        }
         let dropped = write && state.unanswered > 0;
         state.unanswered -= u32::from(dropped);
         drop(state);
@@ -222,7 +309,7 @@
         let end = Instant::now() + timeout;
         let mut state = self.lock();
         loop {
-            if from < state.compacted {
+            if from < state.compacted || from > state.rev {
                 return Reply::Response(Response::new(410));
             }
             if state.fault != StoreFault::None {
@@ -240,6 +327,15 @@
 }
 
 impl State {
+    /// Goes back to the last copy.
+    fn restore(&mut self) {
+        self.era += 1;
+        self.objects = self.backup.objects.clone();
+        self.rev = self.backup.rev;
+        let rev = self.rev;
+        self.history.retain(|event| event.object.rev <= rev);
+    }
+
     /// Executes a call other than a watch.
     fn apply(&mut self, call: ReceivedCall) -> Response {
         match call {
@@ -304,7 +400,7 @@
         if let Some(unchanged) = self.objects.get(&key).filter(|object| object.spec == spec) {
             return unchanged.clone();
         }
-        self.rev = Rev(self.rev.0 + 1);
+        self.rev.number += 1;
         let object = StoredObject {
             name,
             rev: self.rev,
@@ -323,7 +419,7 @@
         let Some(mut object) = self.objects.remove(&(kind.to_owned(), name.clone())) else {
             return;
         };
-        self.rev = Rev(self.rev.0 + 1);
+        self.rev.number += 1;
         object.rev = self.rev;
         self.history.push(ObjectEvent {
             deleted: true,
--- a/crates/store/src/action.rs
+++ b/crates/store/src/action.rs
@@ -2,7 +2,7 @@
 
 use {
     platform::{DecodeError, MemberEntry, StoreCall},
-    site::{Change, Rev, Topic},
+    site::{Change, Era, Rev, Topic},
     unit::{Name, Span},
 };
 
@@ -47,6 +47,8 @@
     /// This daemon has an entry in the store. `true` if the entry is new, so that other daemons
     /// don't know of it yet.
     Registered(bool),
+    /// The store came back from an older copy and is in this era.
+    Restored(Era),
     /// An object can't be decoded and is skipped; if it is a worker's entry, the worker counts as
     /// removed.
     Unreadable(Name, DecodeError),
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,7 +6,7 @@
     },
     fastrand::Rng,
     platform::{MemberEntry, StoreCall, StoreReply},
-    site::{Departure, Rev, Revs, Topic},
+    site::{Departure, Era, Rev, Revs, Topic},
     unit::{Span, Time},
 };
 
@@ -51,6 +51,8 @@
     pub(crate) failing_at: Option<Time>,
     /// One per topic, in the order of [`Topic::ALL`].
     pub(crate) topics: [TopicSync; 3],
+    /// The store's latest known era; `None` before its first response.
+    pub(crate) era: Option<Era>,
     pub(crate) next_call: u64,
     probe: Probe,
     pub(crate) registration: Registration,
@@ -67,6 +69,7 @@
             actions: Vec::new(),
             failing_at: None,
             topics: Topic::ALL.map(TopicSync::new),
+            era: None,
             next_call: 0,
             probe: Probe::Due(now),
             registration: Registration::new(own_entry, now),
@@ -116,6 +119,28 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Notes the era of one of the store's responses or of what a peer knows. In a new era, all
+    /// topics are read again, this daemon's entry is written again, and workers whose entries are
+    /// missing count as lapsed.
+    pub fn observe_era(&mut self, now: Time, era: Era) -> Vec<StoreAction> {
+        let known = self.era;
+        self.era = Some(known.unwrap_or_default().max(era));
+        if known.is_none_or(|known| known >= era) {
+            return Vec::new();
+        }
+        self.last_failure = Some(now);
+        for index in 0..self.topics.len() {
+            if let Some(call) = self.topics[index].pending_call() {
+                self.actions.push(StoreAction::Cancel(call));
+            }
+            self.apply_role(index, now);
+        }
+        self.register_again(now);
+        self.actions
+            .push(StoreAction::Notify(StoreEvent::Restored(era)));
+        std::mem::take(&mut self.actions)
+    }
+
     /// Notes that a peer knows a newer revision of a topic than this daemon did. If the pending
     /// watch doesn't complete soon, it is cancelled and started again.
     pub fn peer_ahead(&mut self, topic: Topic, now: Time) {
@@ -145,7 +170,11 @@
         if let RegistrationPhase::Due(due) = self.registration.phase
             && due <= now
         {
-            self.find_own_entry();
+            if self.registration.lost {
+                self.create_member();
+            } else {
+                self.find_own_entry();
+            }
         }
         std::mem::take(&mut self.actions)
     }
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -12,6 +12,12 @@
 /// The average pause between two reads of all daemons' entries.
 const REFRESH_PAUSE: Span = Span::secs(600);
 
+/// The time over which daemons spread the writing of their entries after the store came back from
+/// an older copy.
+const REGISTER_AGAIN_SPREAD: Span = Span::secs(3);
+/// The average pause before an entry that was in an older copy is compared with the right one.
+const COMPARE_PAUSE: Span = Span::secs(20);
+
 impl StoreClient {
     /// Removes the entry of a daemon that is gone for good, provided that it still has the revision
     /// `rev`. If the call fails, the entry shows up again in the next list.
@@ -26,8 +32,28 @@
         self.list_members(None, Vec::new(), true);
     }
 
+    /// Schedules the creation of this daemon's entry after the store came back from an older copy.
+    pub(crate) fn register_again(&mut self, now: Time) {
+        if let Some(call) = self.registration.pending_call() {
+            self.actions.push(StoreAction::Cancel(call));
+        }
+        self.registration.lost = true;
+        let delay = REGISTER_AGAIN_SPREAD.scale(self.rng.f64());
+        self.registration.phase = RegistrationPhase::Due(now + delay);
+    }
+
+    /// Handles that the entry exists again after the store came back from an older copy. The other
+    /// daemons know this one already. An entry that was in the copy may be an older one, so it is
+    /// compared soon.
+    fn registered_again(&mut self, now: Time, copied: bool) {
+        self.registration.lost = false;
+        let pause = if copied { COMPARE_PAUSE } else { REFRESH_PAUSE };
+        let delay = pause.scale(0.5 + self.rng.f64());
+        self.registration.phase = RegistrationPhase::Due(now + delay);
+    }
+
     /// Creates this daemon's entry.
-    fn create_member(&mut self) {
+    pub(crate) fn create_member(&mut self) {
         let own_entry = self.registration.own_entry.clone();
         let call = self.send_call(StoreCall::CreateMember(own_entry), CALL_TIMEOUT);
         self.registration.phase = RegistrationPhase::Creating(call);
@@ -61,12 +87,18 @@
     pub(crate) fn handle_member_reply(&mut self, now: Time, reply: StoreReply) {
         self.registration.backoff.reset();
         match reply {
+            StoreReply::Conflict | StoreReply::Done
+                if self.registration.lost && self.registration.registered =>
+            {
+                self.registered_again(now, reply == StoreReply::Conflict);
+            }
             // A conflict means that the entry exists, which also settles an earlier call to create
             // it whose result was lost.
             StoreReply::Conflict | StoreReply::Done => {
                 let create_failed = self.registration.create_failed;
                 let new = reply == StoreReply::Done || create_failed;
                 self.registration.registered = true;
+                self.registration.lost = false;
                 self.actions
                     .push(StoreAction::Notify(StoreEvent::Registered(new)));
                 self.list_members(None, Vec::new(), false);
--- a/crates/store/src/registration.rs
+++ b/crates/store/src/registration.rs
@@ -34,6 +34,8 @@
     pub(crate) registered: bool,
     /// Whether a call to create the entry failed. It may still have taken effect.
     pub(crate) create_failed: bool,
+    /// Whether the store came back from an older copy that may lack the entry.
+    pub(crate) lost: bool,
     pub(crate) own_entry: MemberEntry,
     pub(crate) phase: RegistrationPhase,
 }
@@ -44,6 +46,7 @@
             backoff: Backoff::default(),
             registered: false,
             create_failed: false,
+            lost: false,
             own_entry,
             phase: RegistrationPhase::Due(now),
         }
--- a/crates/store/src/topics.rs
+++ b/crates/store/src/topics.rs
@@ -20,15 +20,16 @@
 const WATCH_PAUSE: Span = Span::millis(300);
 
 impl StoreClient {
-    /// Lists a topic that this daemon knows nothing of, and watches any other.
+    /// Lists a topic that this daemon knows nothing of, or nothing in the store's present era, and
+    /// watches any other.
     pub(crate) fn sync_topic(&mut self, index: usize, revs: &Revs) {
         let topic = self.topics[index].topic;
         let known_rev = revs.of(topic);
-        if known_rev == Rev::default() {
+        let from = known_rev.max(self.topics[index].watched_rev);
+        if known_rev == Rev::default() || Some(from.era) < self.era {
             self.list_topic(index);
             return;
         }
-        let from = known_rev.max(self.topics[index].watched_rev);
         let watch = StoreCall::Watch {
             from,
             topic,
--- a/crates/store/tests/client/harness.rs
+++ b/crates/store/tests/client/harness.rs
@@ -2,7 +2,7 @@
 
 use {
     platform::{MemberEntry, Object, StoreCall, StoreReply},
-    site::{ObjectState, Rev, Revs, Topic, Versioned},
+    site::{Era, ObjectState, Rev, Revs, Topic, Versioned},
     store::{Role, StoreAction, StoreCallError, StoreCallId, StoreClient, StoreEvent},
     unit::{Span, Time},
 };
@@ -48,7 +48,7 @@
         harness.advance(Span::ZERO);
         harness.complete(is_stale_list, Ok(page(Vec::new(), 1)));
         harness.complete(is_create, Ok(StoreReply::Done));
-        let own = Object::Member(Rev(2), entry("front-a-1", 1));
+        let own = Object::Member(at_rev(2), entry("front-a-1", 1));
         harness.complete(is_member_list, Ok(page(vec![own], 2)));
         harness.events.clear();
         harness
@@ -58,7 +58,7 @@
     pub(crate) fn watching() -> Self {
         let mut harness = Self::registered();
         for topic in Topic::ALL {
-            harness.revs.raise(topic, Rev(5));
+            harness.revs.raise(topic, at_rev(5));
         }
         harness.set_role(Role::Watcher);
         harness.advance(Span::ZERO);
@@ -108,12 +108,17 @@
     }
 }
 
+/// A revision of the store's first era.
+pub(crate) fn at_rev(number: u64) -> Rev {
+    Rev::new(Era::default(), number)
+}
+
 /// The only page of a list.
 pub(crate) fn page(objects: Vec<Object>, rev: u64) -> StoreReply {
     StoreReply::Page {
         next: None,
         objects,
-        rev: Rev(rev),
+        rev: at_rev(rev),
     }
 }
 
@@ -140,7 +145,7 @@
 /// The evacuation of data centre `a`.
 pub(crate) fn evacuated(rev: u64) -> Object {
     Object::Topic(Versioned {
-        rev: Rev(rev),
+        rev: at_rev(rev),
         value: ObjectState::Evacuated("a".into()),
     })
 }
--- a/crates/store/tests/client/main.rs
+++ b/crates/store/tests/client/main.rs
@@ -8,4 +8,5 @@
 
 mod harness;
 mod members;
+mod restores;
 mod topics;
--- a/crates/store/tests/client/members.rs
+++ b/crates/store/tests/client/members.rs
@@ -1,7 +1,7 @@
 //! Tests of the registration and of the list of daemons' entries.
 
 use {
-    crate::harness::{Harness, entry, is_create, is_member_list, is_stale_list, page},
+    crate::harness::{Harness, at_rev, entry, is_create, is_member_list, is_stale_list, page},
     platform::{Object, StoreCall, StoreReply},
     site::Rev,
     store::{StoreCallError, StoreEvent},
@@ -17,7 +17,7 @@
     let entries = [entry("front-a-1", 1), entry("front-b-1", 2)];
     let objects = entries
         .iter()
-        .map(|entry| Object::Member(Rev(2), entry.clone()));
+        .map(|entry| Object::Member(at_rev(2), entry.clone()));
     harness.complete(is_member_list, Ok(page(objects.collect(), 2)));
     let [StoreEvent::Registered(true), StoreEvent::Members(members)] = &harness.events[..] else {
         panic!("{:?}", harness.events);
@@ -30,7 +30,7 @@
 fn restarted_daemon_finds_its_entry_and_registers_as_known() {
     let mut harness = Harness::new();
     harness.advance(Span::ZERO);
-    let own = Object::Member(Rev(2), entry("front-a-1", 1));
+    let own = Object::Member(at_rev(2), entry("front-a-1", 1));
     harness.complete(is_stale_list, Ok(page(vec![own], 2)));
     let [StoreEvent::Registered(false), StoreEvent::Members(_)] = &harness.events[..] else {
         panic!("{:?}", harness.events);
@@ -64,9 +64,10 @@
     assert!(!harness.is_pending(is_member_list));
     harness.advance(Span::secs(800));
     assert!(harness.is_pending(is_member_list));
-    let actions = harness.client.remove_member("front-b-1".into(), Rev(4));
+    let actions = harness.client.remove_member("front-b-1".into(), at_rev(4));
     harness.apply(actions);
-    let is_removal = |call: &StoreCall| matches!(call, StoreCall::RemoveMember(_, Rev(4)));
+    let is_removal =
+        |call: &StoreCall| matches!(call, StoreCall::RemoveMember(_, Rev { number: 4, .. }));
     harness.complete(is_removal, Ok(StoreReply::NotFound));
     assert!(!harness.client.failing(harness.now));
 }
@@ -91,7 +92,7 @@
     harness.complete(is_stale_list, Ok(page(Vec::new(), 1)));
     harness.complete(is_create, Err(StoreCallError::Timeout));
     harness.advance(Span::secs(1));
-    let own = Object::Member(Rev(2), entry("front-a-1", 1));
+    let own = Object::Member(at_rev(2), entry("front-a-1", 1));
     harness.complete(is_stale_list, Ok(page(vec![own], 2)));
     assert!(harness.events.contains(&StoreEvent::Registered(true)));
 }
@@ -102,9 +103,9 @@
     harness.advance(Span::ZERO);
     harness.complete(is_stale_list, Ok(page(Vec::new(), 1)));
     harness.complete(is_create, Ok(StoreReply::Conflict));
-    let outdated = Object::Member(Rev(2), entry("front-a-1", 9));
+    let outdated = Object::Member(at_rev(2), entry("front-a-1", 9));
     harness.complete(is_member_list, Ok(page(vec![outdated], 2)));
-    let is_replacement = |call: &StoreCall| matches!(call, StoreCall::ReplaceMember(own, Rev(2)) if own.ip.octets()[3] == 1);
+    let is_replacement = |call: &StoreCall| matches!(call, StoreCall::ReplaceMember(own, Rev { number: 2, .. }) if own.ip.octets()[3] == 1);
     harness.complete(is_replacement, Ok(StoreReply::Done));
     assert!(harness.is_pending(is_member_list));
 }
--- a/crates/store/tests/client/topics.rs
+++ b/crates/store/tests/client/topics.rs
@@ -1,7 +1,7 @@
 //! Tests of listing and watching topics, and of a store that fails.
 
 use {
-    crate::harness::{Harness, evacuated, is_list, is_watch, page},
+    crate::harness::{Harness, at_rev, evacuated, is_list, is_watch, page},
     platform::{Object, StoreCall, StoreReply},
     site::{Departure, ObjectState, Rev, Topic},
     store::{Role, StoreCallError, StoreEvent},
@@ -21,11 +21,17 @@
     };
     assert_eq!(
         (change.full, change.rev, change.items.len()),
-        (true, Rev(4), 1)
+        (true, at_rev(4), 1)
     );
-    harness.revs.raise(Topic::Evacuations, Rev(4));
+    harness.revs.raise(Topic::Evacuations, at_rev(4));
     harness.advance(Span::ZERO);
-    assert!(harness.is_pending(|call| matches!(call, StoreCall::Watch { from: Rev(4), .. })));
+    assert!(harness.is_pending(|call| matches!(
+        call,
+        StoreCall::Watch {
+            from: Rev { number: 4, .. },
+            ..
+        }
+    )));
 }
 
 #[test]
@@ -36,7 +42,7 @@
     let first_page = StoreReply::Page {
         next: Some("a".into()),
         objects: vec![evacuated(3)],
-        rev: Rev(4),
+        rev: at_rev(4),
     };
     harness.complete(is_list(Topic::Evacuations), Ok(first_page));
     let is_second_list = |call: &StoreCall| matches!(call, StoreCall::List { after: Some(name), .. } if &**name == "a");
@@ -44,7 +50,7 @@
     let Some(StoreEvent::Change(change)) = harness.events.pop() else {
         panic!("no change");
     };
-    assert_eq!((change.rev, change.items.len()), (Rev(4), 2));
+    assert_eq!((change.rev, change.items.len()), (at_rev(4), 2));
 }
 
 #[test]
@@ -52,16 +58,22 @@
     let mut harness = Harness::watching();
     harness.complete(
         is_watch(Topic::Workers),
-        Ok(StoreReply::Events(Vec::new(), Rev(7))),
+        Ok(StoreReply::Events(Vec::new(), at_rev(7))),
     );
-    harness.revs.raise(Topic::Workers, Rev(7));
+    harness.revs.raise(Topic::Workers, at_rev(7));
     harness.advance(Span::millis(200));
     assert!(!harness.is_pending(is_watch(Topic::Workers)));
     assert!(harness.client.watching());
     // Users allow a change some time to take effect after it is acknowledged. The pause may take
     // at most a quarter of the shortest such time.
     harness.advance(Span::millis(300));
-    assert!(harness.is_pending(|call| matches!(call, StoreCall::Watch { from: Rev(7), .. })));
+    assert!(harness.is_pending(|call| matches!(
+        call,
+        StoreCall::Watch {
+            from: Rev { number: 7, .. },
+            ..
+        }
+    )));
 }
 
 #[test]
@@ -114,7 +126,7 @@
     harness.advance(Span::secs(3));
     harness.complete(
         is_watch(Topic::Workers),
-        Ok(StoreReply::Events(Vec::new(), Rev(6))),
+        Ok(StoreReply::Events(Vec::new(), at_rev(6))),
     );
     assert_eq!(
         harness
@@ -151,11 +163,17 @@
     let mut harness = Harness::watching();
     harness.complete(
         is_watch(Topic::Workers),
-        Ok(StoreReply::Events(Vec::new(), Rev(9))),
+        Ok(StoreReply::Events(Vec::new(), at_rev(9))),
     );
     assert!(harness.events.is_empty());
     harness.advance(Span::secs(1));
-    assert!(harness.is_pending(|call| matches!(call, StoreCall::Watch { from: Rev(9), .. })));
+    assert!(harness.is_pending(|call| matches!(
+        call,
+        StoreCall::Watch {
+            from: Rev { number: 9, .. },
+            ..
+        }
+    )));
 }
 
 #[test]
@@ -186,11 +204,11 @@
     let unreadable = Object::Unreadable {
         name: "i-1".into(),
         reason: platform::DecodeError::Status(0),
-        rev: Rev(6),
+        rev: at_rev(6),
     };
     harness.complete(
         is_watch(Topic::Workers),
-        Ok(StoreReply::Events(vec![unreadable], Rev(6))),
+        Ok(StoreReply::Events(vec![unreadable], at_rev(6))),
     );
     let change = harness.events.iter().find_map(|event| match event {
         StoreEvent::Change(change) => Some(change),
