Weighted splits begin at a random place

Cause: each daemon's split began with the same service, the last among equals.

Ruled out: choosing each request by chance, which leaves the shares of one daemon uneven over short stretches.

Change: a new split takes a random number of steps of its cycle before the first request.

Test: splits_requests_of_a_large_fleet_by_weight failed before.

--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -128,7 +128,10 @@
         let Arrival {
             call: id, route, ..
         } = arrival;
-        let split = self.splits.entry(route.name.clone()).or_default();
+        let split = self
+            .splits
+            .entry(route.name.clone())
+            .or_insert_with(|| Split::new(&route.targets, &mut self.rng));
         let Some(service) = split.next(&route.targets).cloned() else {
             self.actions
                 .push(CallAction::Fail(id, CallError::NotRun(Span::secs(1))));
--- a/crates/call/tests/dispatcher/harness.rs
+++ b/crates/call/tests/dispatcher/harness.rs
@@ -109,13 +109,18 @@
     }
 
     pub(crate) fn with_policy(ids: &[&str], policy: Policy) -> Self {
+        Self::with_seed(ids, policy, 1)
+    }
+
+    /// Creates a dispatcher whose random choices come from a seed.
+    pub(crate) fn with_seed(ids: &[&str], policy: Policy, seed: u64) -> Self {
         let now = Time::at(Span::secs(100));
         let mut table = WorkerTable::new("front-a-1".into(), "a".into());
         table.allow_cold_from(Some(now));
         for id in ids {
             table.upsert(worker(id), now);
         }
-        let mut dispatcher = Dispatcher::new(policy, table, fastrand::Rng::with_seed(1));
+        let mut dispatcher = Dispatcher::new(policy, table, fastrand::Rng::with_seed(seed));
         let mut config = Config::default();
         for name in ["s", "t"] {
             config.services.insert(name.into(), Arc::new(service(name)));
--- a/crates/call/tests/dispatcher/selection.rs
+++ b/crates/call/tests/dispatcher/selection.rs
@@ -1,8 +1,8 @@
 //! Worker selection by health probes, and the weighted split of a route.
 
 use {
-    crate::harness::{Harness, health, idle_health, route},
-    call::{AttemptEnding, CallAction},
+    crate::harness::{Harness, bounds, health, idle_health, route},
+    call::{AttemptEnding, CallAction, Policy},
     site::{RouteKind, Target},
     std::sync::Arc,
     unit::{Map, Name, Span},
@@ -96,6 +96,37 @@
     );
 }
 
+/// Each of many daemons sees few requests, so their splits must not all begin with the same service.
+#[test]
+fn splits_requests_of_a_large_fleet_by_weight() {
+    const DAEMONS: u64 = 1_000;
+    let target = |service: &str, weight| Target {
+        service: service.into(),
+        weight,
+    };
+    for weights in [[50, 50], [90, 10], [1, 3], [700_000, 300_000]] {
+        let mut route = route("r", RouteKind::Download);
+        route.targets = vec![target("s", weights[0]), target("t", weights[1])];
+        let route = Arc::new(route);
+        let mut first = 0;
+        for seed in 0..DAEMONS {
+            let mut harness = Harness::with_seed(&[], Policy::new(bounds()), seed);
+            let mut worker = crate::harness::worker("w");
+            for service in ["s", "t"] {
+                worker.id = service.into();
+                worker.service = service.into();
+                harness.dispatcher.table.upsert(worker.clone(), harness.now);
+            }
+            harness.arrive(&route);
+            let link = harness.next_probe();
+            first += u32::from(&*harness.worker_id(link) == "s");
+        }
+        let share = f64::from(first) / DAEMONS as f64;
+        let wanted = f64::from(weights[0]) / f64::from(weights[0] + weights[1]);
+        assert!((share - wanted).abs() < 0.05, "{weights:?}: {share}");
+    }
+}
+
 #[test]
 fn splits_requests_by_weight_at_any_time() {
     let mut harness = Harness::new(&[]);
