--- a/crates/conf/src/route_section.rs
+++ b/crates/conf/src/route_section.rs
@@ -39,7 +39,12 @@
         name: &str,
         service: Option<&Name>,
     ) -> Option<Self> {
-        let host = ini.require(section, "host", "give the host that callers name");
+        let host = ini.parse_with(
+            section,
+            "host",
+            "give the host without a port, as in gallery.example",
+            host,
+        );
         let prefix = ini.parse_with(section, "prefix", "give a path between slashes", prefix);
         let kind = ini.parse_with(
             section,
@@ -62,7 +67,7 @@
         let objective = millis("objective_ms", DEFAULT_OBJECTIVE_MS);
         let timeout = millis("timeout_ms", DEFAULT_TIMEOUT_MS);
         Some(Self {
-            host: host?.into(),
+            host: host?,
             route: Route {
                 max_attempts,
                 kind: kind?,
@@ -78,6 +83,12 @@
     }
 }
 
+/// Parses a host, in lower case as it is matched.
+fn host(text: &str) -> Option<Name> {
+    let valid = !text.contains([':', '/']);
+    valid.then(|| text.to_ascii_lowercase().into())
+}
+
 /// Parses a path prefix, which begins and ends with a slash.
 fn prefix(text: &str) -> Option<Name> {
     let valid = text.starts_with('/') && text.ends_with('/');
--- a/crates/conf/tests/files.rs
+++ b/crates/conf/tests/files.rs
@@ -142,3 +142,24 @@
     assert!(parse_limits("site.ini", "[limits]\nhead_bytes = 1\n").is_err());
     assert!(parse_limits("site.ini", "[service]\nname = x\n").is_err());
 }
+
+#[test]
+fn hosts_are_compared_as_callers_name_them() {
+    let other = "[service]\nname = other\n[route second]\nhost = GALLERY.example\n\
+                 prefix = /pictures/\nkind = idempotent\n";
+    let error = compile(&files(&[GALLERY, NEW, other]), CallerLimits::default(), 1)
+        .expect_err("the same host and prefix")
+        .to_string();
+    assert!(
+        error.contains("another route has this host and prefix"),
+        "{error}"
+    );
+    let error = error_of(&GALLERY.replace("host = gallery.example", "host = gallery.example:80"));
+    assert!(error.contains("give the host without a port"), "{error}");
+}
+
+#[test]
+fn a_route_needs_a_name() {
+    let error = error_of(&GALLERY.replace("[route pay]", "[route ]"));
+    assert!(error.contains("[route]: unknown section"), "{error}");
+}
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -4,7 +4,7 @@
     serde::{Serialize, de::DeserializeOwned},
 };
 
-/// The maximum size of a message that is decoded, in bytes.
+/// The maximum size of a message, in bytes.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
 const BINCODE_CONFIG: Configuration<LittleEndian, Varint, Limit<MAX_MESSAGE_BYTES>> =
@@ -13,9 +13,13 @@
 /// Encodes a message.
 ///
 /// # Errors
-/// Fails if the message can't be encoded. The size limit applies to decoding only.
+/// Fails if the message can't be encoded or is longer than one that is decoded.
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, PeerError> {
-    Ok(bincode::serde::encode_to_vec(message, BINCODE_CONFIG)?)
+    let bytes = bincode::serde::encode_to_vec(message, BINCODE_CONFIG)?;
+    if bytes.len() > MAX_MESSAGE_BYTES {
+        return Err(PeerError::TooLong);
+    }
+    Ok(bytes)
 }
 
 /// Decodes a message that fills `bytes`.
--- a/crates/peer/tests/fleet/messages.rs
+++ b/crates/peer/tests/fleet/messages.rs
@@ -55,6 +55,15 @@
     }
 }
 
+/// A message that no daemon would read is not sent.
+#[test]
+fn a_message_that_is_too_long_is_not_encoded() {
+    let long = vec![1u8; 9 << 20];
+    assert!(encode(&long).is_err());
+    assert!(FrameCodec::encode(&long).is_err());
+    assert!(encode(&long[..7 << 20].to_vec()).is_ok());
+}
+
 #[test]
 fn a_frame_decodes_once_it_is_complete_and_one_that_is_too_long_is_rejected() {
     let request = FetchRequest {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -90,7 +90,7 @@
     /// in the pauses between watches; false while the store is failing.
     pub fn watching(&self) -> bool {
         let current = |sync: &TopicSync| match sync.phase {
-            SyncPhase::Watching(_) => true,
+            SyncPhase::Watching { .. } => true,
             SyncPhase::Due(_) => sync.current,
             SyncPhase::Listing { .. } | SyncPhase::Inactive => false,
         };
@@ -145,8 +145,8 @@
     /// watch doesn't complete soon, it is cancelled and started again.
     pub fn peer_ahead(&mut self, topic: Topic, now: Time) {
         let sync = &mut self.topics[topic_index(topic)];
-        if matches!(sync.phase, SyncPhase::Watching(_)) {
-            sync.behind_since.get_or_insert(now);
+        if let SyncPhase::Watching { behind_since, .. } = &mut sync.phase {
+            behind_since.get_or_insert(now);
         }
     }
 
@@ -183,7 +183,10 @@
     pub fn next_tick(&self) -> Option<Time> {
         let topics = self.topics.iter().filter_map(|sync| match sync.phase {
             SyncPhase::Due(due) => Some(due),
-            _ => None,
+            SyncPhase::Watching { behind_since, .. } => {
+                behind_since.map(|since| since + MAX_WATCH_LAG)
+            }
+            SyncPhase::Inactive | SyncPhase::Listing { .. } => None,
         });
         let registration = match self.registration.phase {
             RegistrationPhase::Due(due) => Some(due),
@@ -244,7 +247,7 @@
     /// Cancels all pending watches, which may never complete after a probe has failed.
     fn cancel_watches(&mut self, now: Time) {
         for index in 0..self.topics.len() {
-            if let SyncPhase::Watching(call) = self.topics[index].phase {
+            if let SyncPhase::Watching { call, .. } = self.topics[index].phase {
                 self.actions.push(StoreAction::Cancel(call));
                 self.retry_topic(now, index);
             }
@@ -254,15 +257,18 @@
     /// Cancels a watch that has lacked a change known to a peer for too long, and counts that as a
     /// failure of the store.
     fn check_watch_lag(&mut self, index: usize, now: Time) {
-        let sync = &mut self.topics[index];
-        let (SyncPhase::Watching(call), Some(since)) = (&sync.phase, sync.behind_since) else {
+        let sync = &self.topics[index];
+        let SyncPhase::Watching {
+            call,
+            behind_since: Some(since),
+        } = sync.phase
+        else {
             return;
         };
         if now.since(since) < MAX_WATCH_LAG {
             return;
         }
-        let (call, topic) = (*call, sync.topic);
-        sync.behind_since = None;
+        let topic = sync.topic;
         self.actions.push(StoreAction::Cancel(call));
         self.record_failure(now, Some(topic));
         self.retry_topic(now, index);
--- a/crates/store/src/topic_sync.rs
+++ b/crates/store/src/topic_sync.rs
@@ -23,7 +23,11 @@
     /// The next call is due at this time.
     Due(Time),
     /// A watch is pending.
-    Watching(StoreCallId),
+    Watching {
+        call: StoreCallId,
+        /// When a peer was first found to know a change that the watch hasn't delivered.
+        behind_since: Option<Time>,
+    },
 }
 
 /// Synchronization of one topic with the store.
@@ -32,8 +36,6 @@
     pub(crate) backoff: Backoff,
     /// Whether the topic was current as of the last call's result.
     pub(crate) current: bool,
-    /// When a peer was first found to know a change that the pending watch hasn't delivered.
-    pub(crate) behind_since: Option<Time>,
     pub(crate) phase: SyncPhase,
     /// The revision up to which this daemon's own watch has delivered every change. It may be newer
     /// than the revision that peers are told, which is that of the last change.
@@ -46,7 +48,6 @@
         Self {
             backoff: Backoff::default(),
             current: false,
-            behind_since: None,
             phase: SyncPhase::Inactive,
             watched_rev: Rev::default(),
             topic,
@@ -56,7 +57,7 @@
     /// The pending call, if any.
     pub(crate) fn pending_call(&self) -> Option<StoreCallId> {
         match &self.phase {
-            SyncPhase::Listing { call, .. } | SyncPhase::Watching(call) => Some(*call),
+            SyncPhase::Listing { call, .. } | SyncPhase::Watching { call, .. } => Some(*call),
             SyncPhase::Inactive | SyncPhase::Due(_) => None,
         }
     }
--- a/crates/store/src/topics.rs
+++ b/crates/store/src/topics.rs
@@ -36,7 +36,10 @@
             wait: WATCH_WAIT,
         };
         let call = self.send_call(watch, WATCH_WAIT + WATCH_SLACK);
-        self.topics[index].phase = SyncPhase::Watching(call);
+        self.topics[index].phase = SyncPhase::Watching {
+            call,
+            behind_since: None,
+        };
     }
 
     /// Schedules a topic's next call after a failed one.
@@ -49,7 +52,6 @@
     /// Handles the store's response to a topic's pending call.
     pub(crate) fn handle_topic_reply(&mut self, now: Time, index: usize, reply: StoreReply) {
         self.topics[index].backoff.reset();
-        self.topics[index].behind_since = None;
         let topic = self.topics[index].topic;
         match reply {
             StoreReply::Page { next, objects, rev } => {
--- a/crates/store/tests/client/topics.rs
+++ b/crates/store/tests/client/topics.rs
@@ -227,6 +227,40 @@
     assert!(harness.calls.is_empty());
 }
 
+/// What was said of an earlier watch must not cancel a new one.
+#[test]
+fn a_new_watch_is_not_taken_for_one_that_lagged() {
+    let again = |harness: &mut Harness| {
+        harness.set_role(Role::Follower);
+        harness.set_role(Role::Watcher);
+    };
+    let failed = |harness: &mut Harness| {
+        harness.complete(is_watch(Topic::Workers), Err(StoreCallError::Connection));
+    };
+    let ends: [&dyn Fn(&mut Harness); 2] = [&again, &failed];
+    for end in ends {
+        let mut harness = Harness::watching();
+        harness.client.peer_ahead(Topic::Workers, harness.now);
+        end(&mut harness);
+        harness.advance(Span::secs(2));
+        assert!(harness.is_pending(is_watch(Topic::Workers)));
+        harness.advance(Span::millis(1));
+        assert!(harness.is_pending(is_watch(Topic::Workers)));
+    }
+}
+
+#[test]
+fn a_watch_that_lags_is_looked_at_in_time() {
+    let mut harness = Harness::watching();
+    // Once the probe of the store is pending, the watch alone sets the time.
+    harness.advance(Span::millis(700));
+    let next = harness.client.next_tick().expect("a tick");
+    assert!(next > harness.now + Span::secs(60));
+    harness.client.peer_ahead(Topic::Workers, harness.now);
+    let next = harness.client.next_tick().expect("a tick");
+    assert_eq!(next, harness.now + Span::millis(800));
+}
+
 #[test]
 fn watch_that_lags_behind_peers_is_restarted() {
     let mut harness = Harness::watching();
--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -6,8 +6,7 @@
 pub struct Limits {
     /// Maximum length of the decoded body, in bytes.
     pub body_bytes: usize,
-    /// Maximum length of the head, including the request or status line, in bytes. The head of a
-    /// response is checked only while it is incomplete.
+    /// Maximum length of the head, including the request or status line, in bytes.
     pub head_bytes: usize,
 }
 
--- a/crates/wire/src/response_reader.rs
+++ b/crates/wire/src/response_reader.rs
@@ -128,7 +128,7 @@
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Response::new(&mut headers);
         let size = match head.parse(&self.buf) {
-            Ok(httparse::Status::Complete(size)) => size,
+            Ok(httparse::Status::Complete(size)) if size <= self.limits.head_bytes => size,
             Ok(httparse::Status::Partial) if self.buf.len() <= self.limits.head_bytes => {
                 return Ok(None);
             }
--- a/crates/wire/tests/responses.rs
+++ b/crates/wire/tests/responses.rs
@@ -110,6 +110,12 @@
     );
     let mut long = reader(b"HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n");
     assert_eq!(long.next_response(false), Err(WireError::BodyLimit));
+    // A head that arrives whole must not be longer than one that arrives in parts.
+    let head = format!("HTTP/1.1 200 OK\r\nA: {}\r\n\r\n", "x".repeat(512));
+    assert_eq!(
+        reader(head.as_bytes()).next_response(false),
+        Err(WireError::HeadLimit)
+    );
 }
 
 #[test]
