--- a/crates/daemon/src/store_conn.rs
+++ b/crates/daemon/src/store_conn.rs
@@ -33,7 +33,8 @@
 impl Daemon {
     /// Runs what is due in the store client.
     pub(crate) fn store_tick(&mut self, now: Time) {
-        let actions = self.store.tick(now, &self.view.revs());
+        let peers = self.roster.count_alive(now);
+        let actions = self.store.tick(now, &self.view.revs(), peers);
         self.run_store_actions(now, actions);
     }
 
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -12,6 +12,9 @@
 /// The average pause between two reads of all daemons' entries.
 const REFRESH_PAUSE: Span = Span::secs(600);
 
+/// The least time from the writing of this daemon's entry to the reading of the list. Others hear
+/// of a new daemon within it, and it is less than that for which a new daemon uses no permits.
+const FIRST_LIST_DELAY: Span = Span::secs(1);
 /// The time over which daemons spread the writing of their entries after the store came back from
 /// an older copy.
 const REGISTER_AGAIN_SPREAD: Span = Span::secs(3);
@@ -26,6 +29,13 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Reads the list after this daemon's entry was written, so that of two new daemons at least one
+    /// sees the other. A list that may be stale is enough, and cheap, for a daemon that hears
+    /// others: those tell it of the daemons that the list lacks.
+    pub(crate) fn read_first_list(&mut self, peers: usize) {
+        self.list_members(None, Vec::new(), peers > 0);
+    }
+
     /// Looks for this daemon's entry in a list that may be stale. Such a list is cheap and enough
     /// to find the entry after a restart; a new daemon isn't in it.
     pub(crate) fn find_own_entry(&mut self) {
@@ -101,7 +111,9 @@
                 self.registration.lost = false;
                 self.actions
                     .push(StoreAction::Notify(StoreEvent::Registered(new)));
-                self.list_members(None, Vec::new(), false);
+                self.registration.unlisted = true;
+                let delay = FIRST_LIST_DELAY.scale(1.0 + self.rng.f64());
+                self.registration.phase = RegistrationPhase::Due(now + delay);
             }
             StoreReply::Page { next, objects, .. } => self.handle_member_page(now, next, objects),
             StoreReply::Compacted
@@ -145,13 +157,17 @@
                 let call = self.send_call(StoreCall::ReplaceMember(own_entry, *rev), CALL_TIMEOUT);
                 self.registration.phase = RegistrationPhase::Replacing(call);
             }
-            // The entries are listed again after this daemon's entry is written, so that of two new
-            // daemons at least one sees the other.
+            // The list is older than this daemon's entry.
+            None if stale_ok && self.registration.unlisted => {
+                self.list_members(None, Vec::new(), false);
+                return;
+            }
             None if stale_ok => {
                 self.create_member();
                 return;
             }
             _ => {
+                self.registration.unlisted = false;
                 if !self.registration.registered {
                     let new = self.registration.create_failed;
                     self.registration.registered = true;
