--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -14,7 +14,7 @@
 
 /// The least time from the writing of this daemon's entry to the reading of the list. Others hear
 /// of a new daemon within it, and it is less than that for which a new daemon uses no permits.
-const FIRST_LIST_DELAY: Span = Span::secs(1);
+const FIRST_LIST_DELAY: Span = Span::millis(1_500);
 /// The time over which daemons spread the writing of their entries after the store came back from
 /// an older copy.
 const REGISTER_AGAIN_SPREAD: Span = Span::secs(3);
@@ -29,6 +29,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    fn schedule_first_list(&mut self, now: Time) {
+        let delay = FIRST_LIST_DELAY.scale(1.0 + self.rng.f64());
+        self.registration.phase = RegistrationPhase::Due(now + delay);
+    }
+
     /// Reads the list after this daemon's entry was written, so that of two new daemons at least one
     /// sees the other. A list that may be stale is enough, and cheap, for a daemon that hears
     /// others: those tell it of the daemons that the list lacks.
@@ -112,8 +117,7 @@
                 self.actions
                     .push(StoreAction::Notify(StoreEvent::Registered(new)));
                 self.registration.unlisted = true;
-                let delay = FIRST_LIST_DELAY.scale(1.0 + self.rng.f64());
-                self.registration.phase = RegistrationPhase::Due(now + delay);
+                self.schedule_first_list(now);
             }
             StoreReply::Page { next, objects, .. } => self.handle_member_page(now, next, objects),
             StoreReply::Compacted
@@ -159,8 +163,7 @@
             }
             // The list is older than this daemon's entry.
             None if stale_ok && self.registration.unlisted => {
-                self.list_members(None, Vec::new(), false);
-                return;
+                self.schedule_first_list(now);
             }
             None if stale_ok => {
                 self.create_member();
