--- a/crates/daemon/src/store_conn.rs
+++ b/crates/daemon/src/store_conn.rs
@@ -33,8 +33,7 @@
 impl Daemon {
     /// Runs what is due in the store client.
     pub(crate) fn store_tick(&mut self, now: Time) {
-        let peers = self.roster.count_alive(now);
-        let actions = self.store.tick(now, &self.view.revs(), peers);
+        let actions = self.store.tick(now, &self.view.revs());
         self.run_store_actions(now, actions);
     }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -151,9 +151,8 @@
     }
 
     /// Starts the calls that are due, and restarts watches that lag behind peers. `revs` holds the
-    /// revision up to which this daemon knows each topic, `peers` is the number of other daemons
-    /// that it hears.
-    pub fn tick(&mut self, now: Time, revs: &Revs, peers: usize) -> Vec<StoreAction> {
+    /// revision up to which this daemon knows each topic.
+    pub fn tick(&mut self, now: Time, revs: &Revs) -> Vec<StoreAction> {
         for index in 0..self.topics.len() {
             self.check_watch_lag(index, now);
             if let SyncPhase::Due(due) = self.topics[index].phase
@@ -173,8 +172,6 @@
         {
             if self.registration.lost {
                 self.create_member();
-            } else if self.registration.unlisted {
-                self.read_first_list(peers);
             } else {
                 self.find_own_entry();
             }
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -12,9 +12,6 @@
 /// The average pause between two reads of all daemons' entries.
 const REFRESH_PAUSE: Span = Span::secs(600);
 
-/// The least time from the writing of this daemon's entry to the reading of the list. Others hear
-/// of a new daemon within it, and it is less than that for which a new daemon uses no permits.
-const FIRST_LIST_DELAY: Span = Span::millis(1_500);
 /// The time over which daemons spread the writing of their entries after the store came back from
 /// an older copy.
 const REGISTER_AGAIN_SPREAD: Span = Span::secs(3);
@@ -29,18 +26,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn schedule_first_list(&mut self, now: Time) {
-        let delay = FIRST_LIST_DELAY.scale(1.0 + self.rng.f64());
-        self.registration.phase = RegistrationPhase::Due(now + delay);
-    }
-
-    /// Reads the list after this daemon's entry was written, so that of two new daemons at least one
-    /// sees the other. A list that may be stale is enough, and cheap, for a daemon that hears
-    /// others: those tell it of the daemons that the list lacks.
-    pub(crate) fn read_first_list(&mut self, peers: usize) {
-        self.list_members(None, Vec::new(), peers > 0);
-    }
-
     /// Looks for this daemon's entry in a list that may be stale. Such a list is cheap and enough
     /// to find the entry after a restart; a new daemon isn't in it.
     pub(crate) fn find_own_entry(&mut self) {
@@ -116,8 +101,7 @@
                 self.registration.lost = false;
                 self.actions
                     .push(StoreAction::Notify(StoreEvent::Registered(new)));
-                self.registration.unlisted = true;
-                self.schedule_first_list(now);
+                self.list_members(None, Vec::new(), false);
             }
             StoreReply::Page { next, objects, .. } => self.handle_member_page(now, next, objects),
             StoreReply::Compacted
@@ -161,16 +145,13 @@
                 let call = self.send_call(StoreCall::ReplaceMember(own_entry, *rev), CALL_TIMEOUT);
                 self.registration.phase = RegistrationPhase::Replacing(call);
             }
-            // The list is older than this daemon's entry.
-            None if stale_ok && self.registration.unlisted => {
-                self.schedule_first_list(now);
-            }
+            // The entries are listed again after this daemon's entry is written, so that of two new
+            // daemons at least one sees the other.
             None if stale_ok => {
                 self.create_member();
                 return;
             }
             _ => {
-                self.registration.unlisted = false;
                 if !self.registration.registered {
                     let new = self.registration.create_failed;
                     self.registration.registered = true;
--- a/crates/store/src/registration.rs
+++ b/crates/store/src/registration.rs
@@ -37,8 +37,6 @@
     /// Whether the store came back from an older copy that may lack the entry.
     pub(crate) lost: bool,
     pub(crate) own_entry: MemberEntry,
-    /// Whether the entry was written and the list has not been read since.
-    pub(crate) unlisted: bool,
     pub(crate) phase: RegistrationPhase,
 }
 
@@ -50,7 +48,6 @@
             create_failed: false,
             lost: false,
             own_entry,
-            unlisted: false,
             phase: RegistrationPhase::Due(now),
         }
     }
