--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -24,6 +24,8 @@
 /// One request sent by a caller, and its result.
 #[derive(Clone, Debug)]
 pub struct RequestResult {
+    /// How long its connection had been open; zero for a new one, or if none could be opened.
+    pub conn_age: Duration,
     /// The daemon that the request was sent to.
     pub daemon: SocketAddrV4,
     /// The delay before a retry, if the response names one.
@@ -38,11 +40,20 @@
     pub elapsed: Duration,
 }
 
+/// An open connection.
+#[derive(Debug)]
+struct KeptConn {
+    /// The daemon at the other end.
+    daemon: SocketAddrV4,
+    opened: Instant,
+    stream: TcpStream,
+}
+
 /// A caller, which sends one request at a time.
 #[derive(Debug)]
 pub struct Caller {
-    /// The kept-alive connection and the daemon at its other end.
-    conn: Option<(SocketAddrV4, TcpStream)>,
+    /// The kept-alive connection.
+    conn: Option<KeptConn>,
     /// The time allowed for each request, sent along with it.
     pub deadline: Span,
     /// The prefix of this caller's request ids.
@@ -90,23 +101,30 @@
         };
         let request = client_request(method, path, HOST, &id, self.deadline, body);
         let began = Instant::now();
-        let result = match self.connection(daemon) {
+        let conn = self.connection(daemon);
+        let opened = conn.as_ref().map_or(began, |conn| conn.opened);
+        let result = match conn {
             Ok(conn) => self
-                .exchange(daemon, conn, &request, began)
+                .exchange(conn, &request, began)
                 .map_err(|_| Outcome::Unanswered),
             Err(_) => Err(Outcome::Unreachable),
         };
-        let elapsed = began.elapsed();
-        match result {
-            Ok(response) => classify(&response, daemon, id, elapsed),
-            Err(outcome) => RequestResult {
-                daemon,
-                retry_after: None,
-                id,
-                outcome,
-                status: None,
-                elapsed,
-            },
+        let (outcome, retry_after, status) = match &result {
+            Ok(response) => (
+                classify(response, &id),
+                retry_after(response),
+                Some(response.status),
+            ),
+            Err(outcome) => (*outcome, None, None),
+        };
+        RequestResult {
+            conn_age: began.saturating_duration_since(opened),
+            daemon,
+            retry_after,
+            id,
+            outcome,
+            status,
+            elapsed: began.elapsed(),
         }
     }
 
@@ -117,10 +135,14 @@
 
     /// Takes the kept-alive connection if it leads to `daemon`; otherwise closes it and opens
     /// another.
-    fn connection(&mut self, daemon: SocketAddrV4) -> io::Result<TcpStream> {
+    fn connection(&mut self, daemon: SocketAddrV4) -> io::Result<KeptConn> {
         match self.conn.take() {
-            Some((address, conn)) if address == daemon => Ok(conn),
-            _ => TcpStream::connect_timeout(&SocketAddr::V4(daemon), CONNECT_TIMEOUT),
+            Some(conn) if conn.daemon == daemon => Ok(conn),
+            _ => Ok(KeptConn {
+                daemon,
+                opened: Instant::now(),
+                stream: TcpStream::connect_timeout(&SocketAddr::V4(daemon), CONNECT_TIMEOUT)?,
+            }),
         }
     }
 
@@ -128,8 +150,7 @@
     /// it.
     fn exchange(
         &mut self,
-        daemon: SocketAddrV4,
-        mut conn: TcpStream,
+        mut conn: KeptConn,
         request: &Request,
         began: Instant,
     ) -> io::Result<Response> {
@@ -139,36 +160,23 @@
             body_bytes: MAX_BODY_BYTES,
             ..Limits::default()
         };
-        let response = exchange(&mut conn, request, limits, end)?;
+        let response = exchange(&mut conn.stream, request, limits, end)?;
         if !response.closes_connection {
-            self.conn = Some((daemon, conn));
+            self.conn = Some(conn);
         }
         Ok(response)
     }
 }
 
-/// Decides the outcome of a request from its response.
-fn classify(
-    response: &Response,
-    daemon: SocketAddrV4,
-    id: String,
-    elapsed: Duration,
-) -> RequestResult {
+/// Decides the outcome of a request with this id from its response.
+fn classify(response: &Response, id: &str) -> Outcome {
     let head = read_response_head(response);
-    let matches = head.signed && head.id.as_deref() == Some(&id);
-    let outcome = match response.status {
-        200 if matches => Outcome::Served,
+    let same_id = head.id.as_deref() == Some(id);
+    match response.status {
+        200 if head.signed && same_id => Outcome::Served,
         200 => Outcome::Mixed,
-        _ if head.id.as_deref() != Some(&id) => Outcome::Mixed,
+        _ if !same_id => Outcome::Mixed,
         _ if guarantees_not_run(response) => Outcome::NotRun,
         _ => Outcome::Failed,
-    };
-    RequestResult {
-        daemon,
-        retry_after: retry_after(response),
-        id,
-        outcome,
-        status: Some(response.status),
-        elapsed,
     }
 }
