--- a/crates/call/src/call_event.rs
+++ b/crates/call/src/call_event.rs
@@ -18,6 +18,8 @@
     pub timeout: Option<Span>,
     /// The route that matched the request.
     pub route: Arc<Route>,
+    /// How long the request has waited already.
+    pub waited: Span,
 }
 
 /// The timeout of a request whose caller gives none. The route's timeout applies as well; the
@@ -25,10 +27,11 @@
 const DEFAULT_TIMEOUT: Span = Span::secs(30);
 
 impl Arrival {
-    /// How long the request may take.
+    /// How long the request may take from now.
     pub fn max_wait(&self) -> Span {
         let timeout = self.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        timeout.min(self.route.timeout)
+        let timeout = timeout.min(self.route.timeout);
+        timeout.saturating_sub(self.waited)
     }
 }
 
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -20,6 +20,7 @@
 mod selection;
 mod sending;
 mod split;
+mod startup_hold;
 
 pub use {
     attempt_ending::{AttemptEnding, AttemptReport, ProbeFailure},
@@ -30,4 +31,5 @@
     id::{CallId, LinkId},
     policy::Policy,
     relay::{Relay, RelayFailure, keeps_whole},
+    startup_hold::StartupHold,
 };
--- a/crates/call/tests/dispatcher/harness.rs
+++ b/crates/call/tests/dispatcher/harness.rs
@@ -143,6 +143,7 @@
             call,
             timeout: Some(Span::secs(1)),
             route: Arc::clone(route),
+            waited: Span::ZERO,
         }));
         call
     }
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -154,6 +154,7 @@
             call,
             timeout,
             route,
+            waited: Span::ZERO,
         };
         self.handle(daemon_index, CallEvent::Arrived(arrival));
     }
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         callers::{PendingResponse, ResponseForm},
+        conn::{Conn, ConnKind},
         constants::UNAVAILABLE_RETRY_AFTER,
         daemon::Daemon,
         log_event,
@@ -26,6 +27,16 @@
 /// a new configuration helps.
 const UNSERVED_RETRY_AFTER: Span = Span::secs(1);
 
+/// A request as it came from its caller.
+#[derive(Debug)]
+struct ReceivedRequest {
+    /// When it arrived, which is before it is read if it was held.
+    arrived: Time,
+    form: ResponseForm,
+    head: RequestHead,
+    request: Request,
+}
+
 /// Why a request is answered without a worker.
 #[derive(Debug)]
 struct Rejection {
@@ -48,6 +59,7 @@
 impl Daemon {
     /// Handles all complete requests that have arrived on a caller's connection.
     pub(crate) fn read_requests(&mut self, now: Time, conn_key: usize) {
+        let held = self.hold.is_active(now);
         loop {
             let Some(caller) = self.caller_conn(conn_key) else {
                 return;
@@ -55,10 +67,15 @@
             if caller.closing {
                 return;
             }
+            if held {
+                caller.held_since.get_or_insert(now);
+                return;
+            }
             match caller.reader.next_request() {
                 Ok(Some(request)) => {
                     caller.partial_since = None;
-                    self.handle_request(now, conn_key, request);
+                    let arrived = caller.held_since.take().unwrap_or(now);
+                    self.handle_request(now, conn_key, request, arrived);
                 }
                 Ok(None) => {
                     let partial = caller.reader.has_pending();
@@ -77,6 +94,24 @@
         }
     }
 
+    /// Answers the requests that were held because this daemon had just started.
+    pub(crate) fn release_held(&mut self, now: Time) {
+        self.hold.end();
+        let held = |conn: &Conn| match &conn.kind {
+            ConnKind::Caller(caller) => caller.held_since.is_some(),
+            _ => false,
+        };
+        let conn_keys: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, conn)| held(conn))
+            .map(|(conn_key, _)| conn_key)
+            .collect();
+        for conn_key in conn_keys {
+            self.read_requests(now, conn_key);
+        }
+    }
+
     /// Answers bytes that are no valid request; the connection closes after the response.
     fn reject_malformed(&mut self, now: Time, conn_key: usize, error: WireError) {
         if let Some(caller) = self.caller_conn(conn_key) {
@@ -89,7 +124,8 @@
     }
 
     /// Finds a request's route and submits the request, or answers it without a worker.
-    fn handle_request(&mut self, now: Time, conn_key: usize, request: Request) {
+    /// It arrived at `arrived`, which is earlier than now only if it was held.
+    fn handle_request(&mut self, now: Time, conn_key: usize, request: Request, arrived: Time) {
         self.metrics.requests.inc();
         let last = request.closes_connection() || self.stage == Stage::Leaving;
         let form = ResponseForm {
@@ -112,7 +148,13 @@
         match self.route(now, &head.host, request.path()) {
             Ok(route) => {
                 self.metrics.count_routed(&route.kind);
-                self.submit_request(now, conn_key, request, &head, route, last);
+                let received = ReceivedRequest {
+                    arrived,
+                    form,
+                    head,
+                    request,
+                };
+                self.submit_request(now, conn_key, received, route);
             }
             Err(Rejection {
                 status,
@@ -143,11 +185,15 @@
         &mut self,
         now: Time,
         conn_key: usize,
-        request: Request,
-        head: &RequestHead,
+        received: ReceivedRequest,
         route: Arc<Route>,
-        last: bool,
     ) {
+        let ReceivedRequest {
+            arrived,
+            form,
+            head,
+            request,
+        } = received;
         let id = CallId(self.next_call);
         self.next_call += 1;
         let Some(conn) = self.conns.get(conn_key) else {
@@ -157,11 +203,12 @@
             call: id,
             timeout: head.deadline,
             route,
+            waited: now.since(arrived),
         };
         let active = ActiveRequest {
             deadline: now + arrival.max_wait(),
-            started: now,
-            is_head: request.method == "HEAD",
+            started: arrived,
+            is_head: form.is_head,
             id: head.id.as_str().into(),
             conn_key,
             request,
@@ -171,7 +218,7 @@
         if let Some(caller) = self.caller_conn(conn_key) {
             caller
                 .pipeline
-                .push_back(PendingResponse::awaited(id, last));
+                .push_back(PendingResponse::awaited(id, form.last));
         }
         self.dispatch(now, CallEvent::Arrived(arrival));
     }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -81,6 +81,8 @@
 pub(crate) struct CallerConn {
     /// Whether no further requests are read.
     pub(crate) closing: bool,
+    /// When the first bytes arrived that are held because this daemon has just started.
+    pub(crate) held_since: Option<Time>,
     /// When the first bytes of an incomplete request arrived; `None` if there are none.
     pub(crate) partial_since: Option<Time>,
     pub(crate) reader: RequestReader,
@@ -108,6 +110,7 @@
         let limits = self.caller_limits();
         Some(ConnKind::Caller(CallerConn {
             closing: false,
+            held_since: None,
             partial_since: None,
             reader: RequestReader::new(Limits {
                 body_bytes: limits.body_bytes,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -18,7 +18,7 @@
         timers::Timers,
         workers::LinkState,
     },
-    call::{CallId, Dispatcher, LinkId, Policy},
+    call::{CallId, Dispatcher, LinkId, Policy, StartupHold},
     conf::Settings,
     mio::{Events, Interest, Poll, Token, net::TcpStream},
     peer::{HEARTBEAT_PERIOD, Roster, Stage},
@@ -64,6 +64,7 @@
     /// Uses of worker connections that are in progress, and responses that the dispatcher has not
     /// decided on yet.
     pub(crate) links: Map<LinkId, LinkState>,
+    pub(crate) hold: StartupHold,
     /// The responses that are being passed on while they arrive.
     pub(crate) relays: Map<CallId, RelayedResponse>,
     pub(crate) listeners: Listeners,
@@ -141,6 +142,7 @@
         let mut daemon = Self {
             alive_peers: Set::default(),
             calls: Map::default(),
+            hold: StartupHold::new(now),
             relays: Map::default(),
             clock,
             caller_count: 0,
@@ -329,6 +331,7 @@
             self.dispatcher.next_tick(),
             self.store.next_tick(),
             self.timers.next_due(),
+            self.hold.next_check(),
         ];
         let next = next.into_iter().flatten().min();
         next.map_or(HEARTBEAT_PERIOD, |at| at.since(now)).into()
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -171,6 +171,9 @@
             self.next_heartbeat = now + HEARTBEAT_PERIOD;
             self.heartbeat_tick(now);
         }
+        if self.hold.next_check().is_some_and(|at| at <= now) {
+            self.release_held(now);
+        }
         self.store_tick(now);
         self.shutdown_tick(now);
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -182,6 +182,7 @@
             self.stage = Stage::Ready;
             let fields = json!({"config": self.config.as_ref().map(|config| config.version)});
             self.log_event(now, log_event::READY, fields);
+            self.release_held(now);
             let own = self.own_state();
             let actions = self.roster.announce(now, &own);
             self.run_roster_actions(now, actions);
--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -1,8 +1,8 @@
 //! Callers that send invalid messages, pipelined requests or unusual bodies.
 
 use {
-    crate::support::{run_load_served, start_fleet, state_dump, wait_until},
-    standin::Fleet,
+    crate::support::{default_plan, run_load_served, start_fleet, state_dump, wait_until},
+    standin::{Fleet, StoreFault},
     std::{
         io::{Read, Write},
         net::TcpStream,
@@ -164,3 +164,35 @@
     assert_eq!(state_dump(&fleet, 0)["config"], dump["config"]);
     run_load_served(&fleet, &[0], 300);
 }
+
+/// A daemon that has just started needs some tenths of a second to learn of the configuration and
+/// the workers. Several starts are tried, since a busy machine may be slower than the hold is long.
+#[test]
+fn requests_that_arrive_right_after_the_start_are_served() {
+    const STARTS: usize = 5;
+    let mut plan = default_plan();
+    plan.daemon_centres = vec!["a"];
+    let mut fleet = Fleet::start(&plan).expect("a fleet");
+    let first_statuses: Vec<String> = (0..STARTS)
+        .map(|at| {
+            fleet.kill(0);
+            fleet
+                .store
+                .set_fault(StoreFault::Slow(Duration::from_millis(60)));
+            fleet.launch(0).expect("it starts");
+            let mut conn = None;
+            wait_until("the daemon listens", || {
+                conn = TcpStream::connect(fleet.address(0)).ok();
+                conn.is_some()
+            });
+            let mut conn = conn.expect("a connection");
+            conn.write_all(get("/pictures/1", &format!("early-{at}"), true).as_bytes())
+                .expect("the daemon reads");
+            let mut text = String::new();
+            conn.read_to_string(&mut text).expect("a response");
+            text.lines().next().unwrap_or_default().to_owned()
+        })
+        .collect();
+    let served = |line: &String| line.starts_with("HTTP/1.1 200");
+    assert!(first_statuses.iter().any(served), "{first_statuses:?}");
+}
