--- a/crates/daemon/src/store_conn.rs
+++ b/crates/daemon/src/store_conn.rs
@@ -39,6 +39,8 @@
 
     /// Starts or stops watching the store for the other daemons, as the roster decides.
     pub(crate) fn update_store_role(&mut self, now: Time) {
+        let lead = self.roster.is_lead_centre(now);
+        self.store.set_relaxed(!lead);
         let must_watch = self.roster.must_watch(now, &self.own_state());
         let role = if must_watch {
             Role::Watcher
--- a/crates/peer/src/election.rs
+++ b/crates/peer/src/election.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{Member, OwnState, Roster, Stage, Watch},
-    unit::{Name, Span, Time, rendezvous_weight},
+    unit::{Name, Set, Span, Time, rendezvous_weight},
 };
 
 /// The staleness from which a daemon watches the store itself instead of relying on the watchers.
@@ -11,6 +11,8 @@
 /// How long after its start a daemon that isn't the first of its data centre waits for heartbeats
 /// from others before it may watch the store.
 const DISCOVERY_WAIT: Span = Span::millis(300);
+/// The number of data centres whose watchers follow the store most closely.
+const LEAD_CENTRES: usize = 2;
 /// How long a daemon is silent before its entry is removed from the store.
 const MEMBER_EXPIRY: Span = Span::secs(600);
 
@@ -76,6 +78,22 @@
         self.count_before(candidate) <= usize::from(other_failing && !failing)
     }
 
+    /// Whether this daemon's data centre is among the first [`LEAD_CENTRES`] that have a daemon which
+    /// is alive, in an order that is the same on all daemons. Their watchers follow the store most
+    /// closely, and those of the others mostly hear of changes from them.
+    pub fn is_lead_centre(&self, now: Time) -> bool {
+        const RANK_KEY: &str = "lead";
+        let weight = |centre: &Name| rendezvous_weight(RANK_KEY, centre);
+        let own = (weight(&self.centre), &self.centre);
+        let alive = self.members.values();
+        let alive = alive.filter(|member| self.is_alive(member, now));
+        let before: Set<&Name> = alive
+            .map(|member| &member.centre)
+            .filter(|centre| (weight(centre), *centre) < own)
+            .collect();
+        before.len() < LEAD_CENTRES
+    }
+
     /// Whether this daemon comes before all other daemons of its data centre that are `eligible`.
     pub(crate) fn is_first(&self, eligible: impl Fn(&Member) -> bool) -> bool {
         self.count_before(eligible) == 0
--- a/crates/peer/tests/fleet/roster.rs
+++ b/crates/peer/tests/fleet/roster.rs
@@ -222,3 +222,26 @@
     assert!(isolated.is_isolated(later));
     assert!(!fleet.nodes[0].roster.is_isolated(fleet.now));
 }
+
+#[test]
+fn two_data_centres_lead_and_others_take_their_place() {
+    let mut fleet = Fleet::new(18);
+    fleet.run(20);
+    let lead = |fleet: &Fleet| -> Set<usize> {
+        let daemons = (0..18).filter(|index| fleet.nodes[*index].alive);
+        daemons
+            .filter(|index| fleet.nodes[*index].roster.is_lead_centre(fleet.now))
+            .map(|index| index % 3)
+            .collect()
+    };
+    let first = lead(&fleet);
+    assert_eq!(first.len(), 2);
+    let lost = *first.iter().next().expect("a data centre");
+    for index in (0..18).filter(|index| index % 3 == lost) {
+        fleet.nodes[index].alive = false;
+    }
+    fleet.run(40);
+    let second = lead(&fleet);
+    assert_eq!(second.len(), 2);
+    assert!(!second.contains(&lost));
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -57,6 +57,8 @@
     probe: Probe,
     pub(crate) registration: Registration,
     pub(crate) rng: Rng,
+    /// Whether other daemons follow the store more closely.
+    pub(crate) relaxed: bool,
     pub(crate) role: Role,
     /// When the store last failed or refused a call, whether or not it has recovered.
     pub(crate) last_failure: Option<Time>,
@@ -74,6 +76,7 @@
             probe: Probe::Due(now),
             registration: Registration::new(own_entry, now),
             rng,
+            relaxed: false,
             role: Role::Follower,
             last_failure: None,
         }
@@ -102,6 +105,12 @@
         self.role
     }
 
+    /// Sets whether other daemons follow the store more closely, so that this one, if it watches,
+    /// may leave longer pauses between its watches.
+    pub fn set_relaxed(&mut self, relaxed: bool) {
+        self.relaxed = relaxed;
+    }
+
     /// Changes the role: a new watcher starts to sync all topics, a new follower cancels its calls
     /// for them.
     pub fn set_role(&mut self, role: Role, now: Time) -> Vec<StoreAction> {
--- a/crates/store/src/topics.rs
+++ b/crates/store/src/topics.rs
@@ -18,6 +18,9 @@
 /// The pause between the response to a watch and the next watch, so that changes made shortly after
 /// one another arrive in one response.
 const WATCH_PAUSE: Span = Span::millis(300);
+/// The same for a watcher that mostly hears of changes from others. A watch begins after the changes
+/// that are known by then, so that most need no response of the store.
+const RELAXED_WATCH_PAUSE: Span = Span::millis(900);
 
 impl StoreClient {
     /// Lists a topic that this daemon knows nothing of, or nothing in the store's present era, and
@@ -42,6 +45,14 @@
         };
     }
 
+    fn watch_pause(&self) -> Span {
+        if self.relaxed {
+            RELAXED_WATCH_PAUSE
+        } else {
+            WATCH_PAUSE
+        }
+    }
+
     /// Schedules a topic's next call after a failed one.
     pub(crate) fn retry_topic(&mut self, now: Time, index: usize) {
         let delay = self.topics[index].backoff.next(&mut self.rng);
@@ -64,7 +75,7 @@
                 }
                 self.topics[index].watched_rev = self.topics[index].watched_rev.max(rev);
                 self.topics[index].current = true;
-                self.topics[index].phase = SyncPhase::Due(now + WATCH_PAUSE);
+                self.topics[index].phase = SyncPhase::Due(now + self.watch_pause());
             }
             StoreReply::Compacted => self.list_topic(index),
             StoreReply::Conflict
--- a/crates/store/tests/client/topics.rs
+++ b/crates/store/tests/client/topics.rs
@@ -76,6 +76,30 @@
     )));
 }
 
+/// Its peers tell it of most changes meanwhile, and the next watch begins after those.
+#[test]
+fn a_relaxed_watcher_pauses_longer_between_two_watches() {
+    let mut harness = Harness::watching();
+    harness.client.set_relaxed(true);
+    harness.complete(
+        is_watch(Topic::Workers),
+        Ok(StoreReply::Events(Vec::new(), at_rev(7))),
+    );
+    harness.advance(Span::millis(850));
+    assert!(!harness.is_pending(is_watch(Topic::Workers)));
+    assert!(harness.client.watching());
+    harness.revs.raise(Topic::Workers, at_rev(12));
+    // It is still less than half of the shortest time that a change may take to take effect.
+    harness.advance(Span::millis(100));
+    assert!(harness.is_pending(|call| matches!(
+        call,
+        StoreCall::Watch {
+            from: Rev { number: 12, .. },
+            ..
+        }
+    )));
+}
+
 #[test]
 fn lists_the_topic_again_after_its_history_is_compacted() {
     let mut harness = Harness::watching();
