--- a/crates/peer/src/election.rs
+++ b/crates/peer/src/election.rs
@@ -6,8 +6,14 @@
     unit::{Name, Set, Span, Time, rendezvous_weight},
 };
 
-/// The staleness from which a daemon watches the store itself instead of relying on the watchers.
+/// The staleness from which daemons watch the store themselves instead of relying on the watchers.
 const MAX_STALENESS: Span = Span::millis(1_000);
+/// How many daemons of a data centre do so at first, in their order.
+const FIRST_STALE_WATCHERS: usize = 2;
+/// The further staleness after which twice as many do.
+const STALENESS_STEP: Span = Span::millis(400);
+/// How often their number doubles.
+const MAX_DOUBLINGS: u64 = 3;
 /// How long after its start a daemon that isn't the first of its data centre waits for heartbeats
 /// from others before it may watch the store.
 const DISCOVERY_WAIT: Span = Span::millis(300);
@@ -47,7 +53,8 @@
     /// Whether this daemon is to watch the store.
     ///
     /// The watcher of a data centre is the first of its daemons whose calls to the store don't
-    /// fail; a daemon whose view of the site is too stale watches too. Right after its start a
+    /// fail; if their view of the site is too stale, the next ones watch too, the more the staler it
+    /// is. Right after its start a
     /// daemon can't know which others are alive, so it watches only if it is the first of all that
     /// are registered in its data centre. A daemon whose calls to the store fail goes on trying
     /// only if it is the first of all that are alive in its data centre, so that an outage of the
@@ -60,9 +67,6 @@
         if now.since(self.started) < DISCOVERY_WAIT {
             return self.registry_known && self.is_first(|_| true);
         }
-        if !failing && self.staleness(now, own) >= MAX_STALENESS {
-            return true;
-        }
         let candidate = |member: &Member| {
             self.is_alive(member, now)
                 && member.stage != Stage::Leaving
@@ -75,7 +79,13 @@
                 && self.is_alive(member, now)
                 && member.watch == Watch::Failing
         });
-        self.count_before(candidate) <= usize::from(other_failing && !failing)
+        let before = self.count_before(candidate);
+        let helpers = if failing {
+            0
+        } else {
+            stale_watchers(self.staleness(now, own))
+        };
+        before < helpers || before <= usize::from(other_failing && !failing)
     }
 
     /// Whether this daemon's data centre is among the first [`LEAD_CENTRES`] that have a daemon which
@@ -129,3 +139,12 @@
         reported.min().unwrap_or(now.since(self.started))
     }
 }
+
+/// How many daemons of a data centre, in their order, watch the store because of their staleness.
+fn stale_watchers(staleness: Span) -> usize {
+    if staleness < MAX_STALENESS {
+        return 0;
+    }
+    let steps = staleness.saturating_sub(MAX_STALENESS).as_micros() / STALENESS_STEP.as_micros();
+    FIRST_STALE_WATCHERS << steps.min(MAX_DOUBLINGS)
+}
--- a/crates/peer/tests/fleet/roster.rs
+++ b/crates/peer/tests/fleet/roster.rs
@@ -245,3 +245,40 @@
     assert_eq!(second.len(), 2);
     assert!(!second.contains(&lost));
 }
+
+/// Every call to the store has its price, also one that fails.
+#[test]
+fn in_an_outage_of_the_store_few_daemons_of_a_large_data_centre_try_it() {
+    const SECONDS: usize = 10;
+    let mut fleet = Fleet::new(240);
+    fleet.run(30);
+    let mut tried: Set<usize> = Set::default();
+    for _ in 0..SECONDS * 5 {
+        for index in fleet.watchers() {
+            tried.insert(index);
+            fleet.nodes[index].own.watch = Watch::Failing;
+        }
+        fleet.run(1);
+    }
+    assert!((3..=60).contains(&tried.len()), "{}", tried.len());
+}
+
+/// The store may refuse a third of the daemons and serve the others.
+#[test]
+fn a_data_centre_finds_a_watcher_although_the_store_refuses_some_of_its_daemons() {
+    let mut fleet = Fleet::new(240);
+    fleet.run(30);
+    let refused: Set<usize> = (0..240).filter(|index| index % 20 < 7).collect();
+    let mut stale = Span::ZERO;
+    for _ in 0..50 {
+        for index in fleet.watchers() {
+            if refused.contains(&index) {
+                fleet.nodes[index].own.watch = Watch::Failing;
+            }
+        }
+        fleet.run(1);
+        let oldest = (0..240).map(|index| fleet.staleness(index)).max();
+        stale = oldest.unwrap_or_default().max(stale);
+    }
+    assert!(stale < Span::millis(2_500), "{stale:?}");
+}
