View, store connection, stand-in store and the view's tests split by job

Code is moved; the stand-in store's copy got methods of its own. The same 19 tests of the view pass.

No behaviour changed.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 mod run;
 mod shutdown;
 mod signals;
+mod site_changes;
 mod store_conn;
 mod timers;
 mod worker_responses;
--- a/crates/site/src/view.rs
+++ b/crates/site/src/view.rs
@@ -1,8 +1,12 @@
+mod copies;
+mod missing;
+
 use {
     crate::{
         Change, Config, DepartedWorker, Departure, ObjectState, Rev, Revs, Topic, Versioned,
         Worker, WorkerState,
     },
+    copies::{Unsettled, UnsettledWorker},
     std::{collections::hash_map::Entry, sync::Arc},
     unit::{Map, Name, Set, Span, Time},
 };
@@ -11,11 +15,6 @@
 /// late heartbeats from a restarted worker, and the tombstone to report the removal to peers.
 const DEPARTED_TTL: Span = Span::secs(120);
 
-/// How long an evacuation or its end, or a worker's removal, that was known before the store came
-/// back from an older copy, holds against that copy. Operators and workers write again in that time
-/// what was lost.
-const SETTLE_TIME: Span = Span::secs(3);
-
 /// An effect of a change on the view.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -40,25 +39,6 @@
     rev: Rev,
 }
 
-/// What an older copy of the store says about the evacuation of a data centre, against what was
-/// known before.
-#[derive(Clone, Copy, Debug)]
-struct Unsettled {
-    /// When the copy's state takes effect, unless the operator writes before.
-    due: Time,
-    /// Whether the data centre is evacuated in the copy.
-    evacuated: bool,
-    rev: Rev,
-}
-
-/// A worker's entry in an older copy of the store, of a worker that had left.
-#[derive(Clone, Debug)]
-struct UnsettledWorker {
-    /// When the entry takes effect, unless it is removed again before.
-    due: Time,
-    entry: Versioned<Worker>,
-}
-
 /// Everything that a daemon knows of the site. No part of it ever returns to an older revision.
 ///
 /// After the store came back from an older copy, its objects have revisions of a new era. Where the
@@ -135,124 +115,6 @@
         effects
     }
 
-    /// Gives effect to what a copy of the store says, once it has stood for [`SETTLE_TIME`].
-    pub fn settle(&mut self, now: Time) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        self.settle_evacuations(now, &mut effects);
-        let due = self.unsettled_workers.iter();
-        let due = due.filter(|(_, unsettled)| unsettled.due <= now);
-        let ids: Vec<Name> = due.map(|(id, _)| id.clone()).collect();
-        for id in ids {
-            if let Some(UnsettledWorker { entry, .. }) = self.unsettled_workers.remove(&id) {
-                self.apply_worker(entry.value, entry.rev, &mut effects);
-            }
-        }
-        effects
-    }
-
-    fn settle_evacuations(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let due = self.unsettled.iter().filter(|(_, entry)| entry.due <= now);
-        let names: Vec<Name> = due.map(|(name, _)| name.clone()).collect();
-        for name in names {
-            let Some(entry) = self.unsettled.remove(&name) else {
-                continue;
-            };
-            if entry.evacuated {
-                self.begin_evacuation(name, entry.rev, effects);
-            } else {
-                self.end_evacuation(name, entry.rev, effects);
-            }
-        }
-    }
-
-    /// The changes that a peer lacks if it knows the topics up to `known`.
-    pub fn changes_since(&self, known: &Revs) -> Vec<Change> {
-        Topic::ALL
-            .iter()
-            .filter(|topic| self.revs.of(**topic) > known.of(**topic))
-            .map(|topic| self.change_since(*topic, known.of(*topic)))
-            .collect()
-    }
-
-    /// The change to one topic since revision `known`: a full list if nothing is known of the
-    /// topic, the tombstone of a later removal may have been dropped, or the peer has yet to compare
-    /// what it knows with the store's copy.
-    fn change_since(&self, topic: Topic, known: Rev) -> Change {
-        let full = known < self.compacted
-            || known == Rev::default()
-            || known.era < self.revs.of(topic).era;
-        let after = if full { Rev::default() } else { known };
-        Change {
-            // It is unknown when a peer that far behind missed a departure, so the worker counts as
-            // lapsed.
-            absent_departure: Departure::Lapsed,
-            full,
-            items: match topic {
-                Topic::Config => self.config_items(after),
-                Topic::Evacuations => self.evacuation_items(after, full),
-                Topic::Workers => self.worker_items(after, full),
-            },
-            rev: self.revs.of(topic),
-            topic,
-        }
-    }
-
-    fn config_items(&self, after: Rev) -> Vec<Versioned<ObjectState>> {
-        let newer = self.config.iter().filter(|versioned| versioned.rev > after);
-        newer
-            .map(|versioned| Versioned {
-                rev: versioned.rev,
-                value: ObjectState::Config(Arc::clone(&versioned.value)),
-            })
-            .collect()
-    }
-
-    fn evacuation_items(&self, after: Rev, full: bool) -> Vec<Versioned<ObjectState>> {
-        let unsettled = |name: &Name| full && self.unsettled.contains_key(name);
-        let evacuated = self.evacuated.iter().filter(|(name, _)| !unsettled(name));
-        // A full list says what the store says.
-        let copied = self.unsettled.iter();
-        let copied = copied
-            .filter(|(_, entry)| full && entry.evacuated)
-            .map(|(name, entry)| (name, &entry.rev));
-        let evacuated = evacuated.chain(copied).map(|(name, rev)| Versioned {
-            rev: *rev,
-            value: ObjectState::Evacuated(name.clone()),
-        });
-        let returned = self.returned.iter().map(|(name, rev)| Versioned {
-            rev: *rev,
-            value: ObjectState::Returned(name.clone()),
-        });
-        let returned = returned.filter(|_| !full);
-        evacuated
-            .chain(returned)
-            .filter(|item| item.rev > after)
-            .collect()
-    }
-
-    fn worker_items(&self, after: Rev, full: bool) -> Vec<Versioned<ObjectState>> {
-        let present = self.workers.values().map(|versioned| Versioned {
-            rev: versioned.rev,
-            value: ObjectState::Worker(versioned.value.clone()),
-        });
-        let removed = self.tombstones.iter().map(|(id, tombstone)| Versioned {
-            rev: tombstone.rev,
-            value: ObjectState::WorkerRemoved(id.clone(), tombstone.departure),
-        });
-        let removed = removed.filter(|_| !full);
-        // A full list says what the store says.
-        let copied = self.unsettled_workers.values().filter(|_| full);
-        let copied = copied.map(|unsettled| Versioned {
-            rev: unsettled.entry.rev,
-            value: ObjectState::Worker(unsettled.entry.value.clone()),
-        });
-        present
-            .chain(removed)
-            .chain(copied)
-            .filter(|item| item.rev > after)
-            .collect()
-    }
-
     /// Removes the objects that a full list lacks.
     fn remove_absent(&mut self, change: &Change, now: Time, effects: &mut Vec<Effect>) {
         match change.topic {
@@ -321,87 +183,6 @@
         self.config = Some(Versioned { rev, value: config });
     }
 
-    /// Whether an item of a full list is an evacuation that ended, or a worker that left, before the
-    /// store came back from an older copy. It then has no effect yet.
-    fn holds_against(&mut self, item: &Versioned<ObjectState>, now: Time) -> bool {
-        match &item.value {
-            ObjectState::Evacuated(name) => {
-                let ended = self.returned.get(name);
-                let copied = ended.is_some_and(|ended| ended.era < item.rev.era);
-                if copied {
-                    self.hold_against(name.clone(), true, item.rev, now);
-                }
-                copied
-            }
-            ObjectState::Worker(worker) => {
-                let copied = self.has_left(worker, item.rev);
-                if copied {
-                    let unsettled = UnsettledWorker {
-                        due: now + SETTLE_TIME,
-                        entry: Versioned {
-                            rev: item.rev,
-                            value: worker.clone(),
-                        },
-                    };
-                    let known = self.unsettled_workers.entry(worker.id.clone());
-                    known.or_insert(unsettled);
-                }
-                copied
-            }
-            _ => false,
-        }
-    }
-
-    /// Whether a worker left in an earlier era than that of `rev`, and its entry there is one from
-    /// before that.
-    fn has_left(&self, worker: &Worker, rev: Rev) -> bool {
-        let tombstone = self.tombstones.get(&worker.id);
-        let left = tombstone.is_some_and(|tombstone| {
-            tombstone.departure == Departure::Left && tombstone.rev.era < rev.era
-        });
-        let last = self.departed.get(&worker.id);
-        left && last.is_some_and(|departed| {
-            let last = &departed.worker;
-            worker.started_ms == last.started_ms && worker.heartbeats <= last.heartbeats
-        })
-    }
-
-    /// Forgets a worker's entry in an older copy once its state was written again.
-    fn drop_unsettled_worker(&mut self, id: &Name, rev: Rev) {
-        let unsettled = self.unsettled_workers.get(id);
-        if unsettled.is_some_and(|unsettled| unsettled.entry.rev < rev) {
-            self.unsettled_workers.remove(id);
-        }
-    }
-
-    /// Keeps what is known of an evacuation for [`SETTLE_TIME`] against an older copy of the store.
-    fn hold_against(&mut self, name: Name, evacuated: bool, rev: Rev, now: Time) {
-        let due = now + SETTLE_TIME;
-        let entry = self.unsettled.entry(name).or_insert(Unsettled {
-            due,
-            evacuated,
-            rev,
-        });
-        if entry.evacuated != evacuated || entry.rev.era < rev.era {
-            *entry = Unsettled {
-                due,
-                evacuated,
-                rev,
-            };
-        }
-    }
-
-    /// Forgets what an older copy says about an evacuation once the operator has written it again.
-    fn drop_unsettled(&mut self, name: &Name, rev: Rev) {
-        if self
-            .unsettled
-            .get(name)
-            .is_some_and(|entry| entry.rev.era <= rev.era)
-        {
-            self.unsettled.remove(name);
-        }
-    }
-
     /// Begins an evacuation, unless it ended at a later revision than `rev`.
     fn begin_evacuation(&mut self, name: Name, rev: Rev, effects: &mut Vec<Effect>) {
         if self.returned.get(&name).is_some_and(|known| *known >= rev) {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,23 +1,24 @@
 //! A stand-in for the platform's store: versioned objects, with lists, conditional writes and
 //! watches.
 
+mod state;
+
 use {
     crate::server::{Reply, Server},
     platform::standin::{
-        ReceivedCall, StoredObject, config_key, evacuation_kind, events_response, object_response,
-        page_response, read_store_call, set_era, worker_kind, worker_spec,
+        ReceivedCall, config_key, evacuation_kind, events_response, read_store_call, set_era,
+        worker_kind, worker_spec,
     },
     serde_json::Value,
     site::{Config, Rev, Worker},
+    state::{OwnWrite, State},
     std::{
-        collections::BTreeMap,
         io,
         net::{Ipv4Addr, SocketAddrV4},
         sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
         thread,
         time::{Duration, Instant},
     },
-    unit::Name,
     wire::{Request, Response},
 };
 
@@ -40,51 +41,6 @@
     None,
 }
 
-/// A change to an object, as watches report it.
-struct ObjectEvent {
-    deleted: bool,
-    kind: String,
-    object: StoredObject,
-}
-
-/// A change that was made by [`Store`]'s own methods, as by an operator or a worker.
-#[derive(Clone)]
-enum OwnWrite {
-    Put(String, Name, Value),
-    Remove(String, Name),
-}
-
-/// A copy of the store's objects, and what its own methods have written since.
-#[derive(Default)]
-struct Backup {
-    objects: BTreeMap<(String, Name), StoredObject>,
-    rev: Rev,
-    written: Vec<OwnWrite>,
-}
-
-/// The content of the store, and how it treats calls.
-#[derive(Default)]
-struct State {
-    backup: Backup,
-    /// The number of calls so far.
-    calls: u64,
-    /// The newest revision whose history is compacted; watches from before it get status 410.
-    compacted: Rev,
-    /// How often the store came back from a copy.
-    era: u32,
-    /// The changes since the last compaction, in the order of their revisions.
-    history: Vec<ObjectEvent>,
-    /// The number of further writes that are executed without a response.
-    unanswered: u32,
-    /// Whether the store comes back from its copy right after the next write.
-    loses_next: bool,
-    fault: StoreFault,
-    /// The objects by kind and name.
-    objects: BTreeMap<(String, Name), StoredObject>,
-    /// The revision of the newest change.
-    rev: Rev,
-}
-
 /// The state that the store shares with its server's threads.
 #[derive(Default)]
 struct Shared {
@@ -168,12 +124,7 @@
 
     /// Copies the objects, for [`Self::restore`].
     pub fn back_up(&self) {
-        let mut state = self.shared.lock();
-        state.backup = Backup {
-            objects: state.objects.clone(),
-            rev: state.rev,
-            written: Vec::new(),
-        };
+        self.shared.lock().back_up();
     }
 
     /// Raises the revision, as by writes to objects that no daemon follows.
@@ -198,16 +149,7 @@
     /// Writes again what this type's own methods wrote between the last copy and now, as operators
     /// and workers do after a restore.
     pub fn write_again(&self) {
-        let mut state = self.shared.lock();
-        for write in state.backup.written.clone() {
-            match write {
-                OwnWrite::Put(kind, name, spec) => {
-                    state.put(&kind, name, spec);
-                }
-                OwnWrite::Remove(kind, name) => state.remove(&kind, &name),
-            }
-        }
-        drop(state);
+        self.shared.lock().write_again();
         self.shared.changed.notify_all();
     }
 
@@ -233,20 +175,14 @@
 
     /// Writes an object with any content, valid or not, as another client of the store could.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        let mut state = self.shared.lock();
-        let write = OwnWrite::Put(kind.to_owned(), name.into(), spec.clone());
-        state.backup.written.push(write);
-        state.put(kind, name.into(), spec);
-        drop(state);
+        let write = OwnWrite::Put(kind.to_owned(), name.into(), spec);
+        self.shared.lock().write_own(write);
         self.shared.changed.notify_all();
     }
 
     fn remove(&self, kind: &str, name: &str) {
-        let mut state = self.shared.lock();
         let write = OwnWrite::Remove(kind.to_owned(), name.into());
-        state.backup.written.push(write);
-        state.remove(kind, &name.into());
-        drop(state);
+        self.shared.lock().write_own(write);
         self.shared.changed.notify_all();
     }
 }
@@ -325,116 +261,3 @@
         }
     }
 }
-
-impl State {
-    /// Goes back to the last copy.
-    fn restore(&mut self) {
-        self.era += 1;
-        self.objects = self.backup.objects.clone();
-        self.rev = self.backup.rev;
-        let rev = self.rev;
-        self.history.retain(|event| event.object.rev <= rev);
-    }
-
-    /// Executes a call other than a watch.
-    fn apply(&mut self, call: ReceivedCall) -> Response {
-        match call {
-            ReceivedCall::Create { kind, name, spec } => {
-                match self.objects.get(&(kind.clone(), name.clone())) {
-                    Some(object) => object_response(409, object),
-                    None => object_response(201, &self.put(&kind, name, spec)),
-                }
-            }
-            ReceivedCall::Delete { kind, name, rev } => {
-                self.conditional(&kind, &name, rev, |state| {
-                    state.remove(&kind, &name);
-                    Response::new(200)
-                })
-            }
-            ReceivedCall::List { after, kind } => self.list(&kind, after.as_ref()),
-            ReceivedCall::Replace {
-                kind,
-                name,
-                rev,
-                spec,
-            } => self.conditional(&kind, &name, rev, |state| {
-                object_response(200, &state.put(&kind, name.clone(), spec))
-            }),
-            ReceivedCall::Watch { .. } => Response::new(400),
-        }
-    }
-
-    /// Applies a write if the object exists and has revision `rev`, or any revision where `rev` is
-    /// `None`.
-    fn conditional(
-        &mut self,
-        kind: &str,
-        name: &Name,
-        rev: Option<Rev>,
-        write: impl FnOnce(&mut Self) -> Response,
-    ) -> Response {
-        match self.objects.get(&(kind.to_owned(), name.clone())) {
-            None => Response::new(404),
-            Some(object) if rev.is_some_and(|rev| rev != object.rev) => {
-                object_response(409, object)
-            }
-            Some(_) => write(self),
-        }
-    }
-
-    /// Lists the first page of the objects of a kind whose names come after `after`.
-    fn list(&self, kind: &str, after: Option<&Name>) -> Response {
-        let objects: Vec<StoredObject> = self
-            .objects
-            .iter()
-            .filter(|((other, name), _)| other == kind && after.is_none_or(|after| name > after))
-            .map(|(_, object)| object.clone())
-            .collect();
-        let page = &objects[..objects.len().min(PAGE_SIZE)];
-        page_response(page, objects.len() > PAGE_SIZE, self.rev)
-    }
-
-    /// Writes an object under a new revision, unless its content is the same already.
-    fn put(&mut self, kind: &str, name: Name, spec: Value) -> StoredObject {
-        let key = (kind.to_owned(), name.clone());
-        if let Some(unchanged) = self.objects.get(&key).filter(|object| object.spec == spec) {
-            return unchanged.clone();
-        }
-        self.rev.number += 1;
-        let object = StoredObject {
-            name,
-            rev: self.rev,
-            spec,
-        };
-        self.objects.insert(key, object.clone());
-        self.history.push(ObjectEvent {
-            deleted: false,
-            kind: kind.to_owned(),
-            object: object.clone(),
-        });
-        object
-    }
-
-    fn remove(&mut self, kind: &str, name: &Name) {
-        let Some(mut object) = self.objects.remove(&(kind.to_owned(), name.clone())) else {
-            return;
-        };
-        self.rev.number += 1;
-        object.rev = self.rev;
-        self.history.push(ObjectEvent {
-            deleted: true,
-            kind: kind.to_owned(),
-            object,
-        });
-    }
-
-    /// Returns the objects of a kind that changed after a revision, each with whether it was
-    /// deleted.
-    fn events_since(&self, from: Rev, kind: &str) -> Vec<(StoredObject, bool)> {
-        let newer = self.history.iter();
-        newer
-            .filter(|event| event.kind == kind && event.object.rev > from)
-            .map(|event| (event.object.clone(), event.deleted))
-            .collect()
-    }
-}
