Soak: large responses that workers cut short

The check that every request gets a response leaves out those that ran at such a worker before the fault ended: a response that breaks off ends its caller's connection, and one that looked complete would count as served with a wrong length.

--- a/crates/standin/src/bin/soak.rs
+++ b/crates/standin/src/bin/soak.rs
@@ -14,6 +14,10 @@
     #[arg(long, default_value_t = 6)]
     daemons: usize,
 
+    /// Have workers send large responses and cut them short now and then.
+    #[arg(long)]
+    downloads: bool,
+
     /// The path of the daemon's program.
     #[arg(long, default_value = "target/release/anvilferryd")]
     program: PathBuf,
@@ -45,6 +49,7 @@
     for seed in arguments.seed..arguments.seed + arguments.seeds {
         let soak = Soak {
             daemons: arguments.daemons,
+            downloads: arguments.downloads,
             program: arguments.program.clone(),
             restores: arguments.restores,
             seed,
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -33,6 +33,8 @@
     Worker(usize, WorkerFault),
     /// Makes a worker cold.
     WorkerCold(usize),
+    /// Makes a worker send large responses without their last byte.
+    WorkerCutsDownloads(usize),
     /// Kills a worker and starts another in its place.
     WorkerDies(usize),
     /// Drains a worker and starts another in its place.
--- a/crates/standin/src/soak/injection.rs
+++ b/crates/standin/src/soak/injection.rs
@@ -24,6 +24,8 @@
 /// Timeout for a daemon to exit after SIGTERM, counted from the end of the fault.
 const STOP_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// The size of a response that is passed on while it arrives, in bytes.
+const DOWNLOAD_BYTES: usize = 2 << 20;
 /// How long the store is away before it comes back from a copy.
 const STORE_AWAY: Duration = Duration::from_millis(200);
 /// How soon operators and workers write again what the store has lost.
@@ -66,6 +68,10 @@
             Fault::Worker(index, fault) => self.worker(index).set_fault(fault),
             Fault::WriteAgain => {}
             Fault::WorkerCold(index) => self.worker(index).set_cold(length),
+            Fault::WorkerCutsDownloads(index) => {
+                self.worker(index).set_body_bytes(DOWNLOAD_BYTES);
+                self.worker(index).set_fault(WorkerFault::Truncates);
+            }
             Fault::WorkerDies(index) => self.replace_worker(index, false)?,
             Fault::WorkerDrains(index) => self.replace_worker(index, true)?,
             Fault::WorkerProxy(index, fault) => {
@@ -113,6 +119,12 @@
             Fault::Worker(..) | Fault::WorkerProxy(..) | Fault::WorkerSlow(_) => {
                 self.clear_worker_faults(active.worker.as_ref());
             }
+            Fault::WorkerCutsDownloads(_) => {
+                self.clear_worker_faults(active.worker.as_ref());
+                if let Some(worker) = &active.worker {
+                    self.history.cutting.push(interval(active, worker.clone()));
+                }
+            }
             Fault::WriteAgain => self.fleet.store.write_again(),
             Fault::WorkerDrains(_) => self.update_draining_entry(active.worker.as_ref()),
             Fault::Compact
@@ -152,6 +164,7 @@
     fn affected_worker(&self, fault: Fault) -> Option<Name> {
         match fault {
             Fault::Worker(index, _)
+            | Fault::WorkerCutsDownloads(index)
             | Fault::WorkerDrains(index)
             | Fault::WorkerProxy(index, _)
             | Fault::WorkerSlow(index) => Some(self.worker(index).entry.id.clone()),
@@ -174,6 +187,7 @@
         let matches_id = |worker: &&Upstream| Some(&worker.entry.id) == id;
         if let Some(worker) = self.fleet.workers.iter().find(matches_id) {
             worker.set_fault(WorkerFault::None);
+            worker.set_body_bytes(0);
             worker.set_latency_percent(100);
         }
         if let Some(proxy) = id.and_then(|id| self.fleet.worker_proxies.get(id)) {
--- a/crates/standin/src/soak/report.rs
+++ b/crates/standin/src/soak/report.rs
@@ -5,7 +5,7 @@
         config::config, execution_log::Execution, outcome::Outcome, soak::callers::TimedResult,
     },
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         fmt::{self, Display, Formatter},
         time::{Duration, Instant},
     },
@@ -34,6 +34,8 @@
 /// The faults on which checks depend, with their times.
 #[derive(Debug, Default)]
 pub(crate) struct History {
+    /// Workers that sent large responses without their ends.
+    pub(crate) cutting: Vec<Interval<Name>>,
     /// Daemons, by index, that were killed or paused.
     pub(crate) disrupted: Vec<Interval<usize>>,
     /// Draining workers, with the time at which the store got their draining entries.
@@ -89,7 +91,7 @@
         .extend(wrong_results(requests, executions));
     report
         .violations
-        .extend(unanswered(requests, indices, history));
+        .extend(unanswered(requests, executions, indices, history));
     report.violations.extend(cold_overloads(executions));
     report.violations.extend(drained(executions, history));
     report
@@ -125,9 +127,20 @@
 /// Requests without a response, sent to daemons that were neither killed nor paused meanwhile.
 fn unanswered(
     requests: &[TimedResult],
+    executions: &[Execution],
     indices: &HashMap<std::net::SocketAddrV4, usize>,
     history: &History,
 ) -> Vec<String> {
+    // A large response that a worker cuts short ends the caller's connection.
+    let cut: HashSet<&str> = executions
+        .iter()
+        .filter(|execution| {
+            history.cutting.iter().any(|interval| {
+                interval.subject == execution.worker && execution.began <= interval.to
+            })
+        })
+        .map(|execution| execution.request.as_str())
+        .collect();
     let disrupted = |request: &TimedResult| {
         let end = request.began + request.result.elapsed;
         history.disrupted.iter().any(|interval| {
@@ -138,7 +151,8 @@
     };
     requests
         .iter()
-        .filter(|request| request.result.outcome == Outcome::Unanswered && !disrupted(request))
+        .filter(|request| request.result.outcome == Outcome::Unanswered)
+        .filter(|request| !disrupted(request) && !cut.contains(&*request.result.id))
         .map(|request| format!("{} got no response: {request:?}", request.result.id))
         .collect()
 }
