--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -61,6 +61,18 @@
             .expect("it runs")
     }
 
+    /// Runs the tool without the address of a store, which must succeed.
+    fn run_without_store(&self, arguments: &[&str]) -> String {
+        let output = Command::new(env!("CARGO_BIN_EXE_anvilferry"))
+            .args(arguments)
+            .env_remove("ANVILFERRY_STORE")
+            .current_dir(&self.folder)
+            .output()
+            .expect("it runs");
+        assert!(output.status.success(), "{output:?}");
+        String::from_utf8(output.stdout).expect("text")
+    }
+
     /// Runs the tool, which must succeed. Returns its standard output.
     fn run_ok(&self, arguments: &[&str]) -> String {
         let output = self.run(arguments);
@@ -87,7 +99,7 @@
 fn checks_files_without_a_store() {
     let fixture = Fixture::new();
     assert_eq!(
-        fixture.run_ok(&["check", "."]),
+        fixture.run_without_store(&["check", "."]),
         "valid: 1 services, 1 routes\n"
     );
     fixture.write("bad.ini", "[service]\nname = b\ncolour = red\n");
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -290,7 +290,8 @@
             let [high, low] = [number as u8, index as u8 + 10];
             Ipv4Addr::new(127, 16 + (std::process::id() % 200) as u8, high, low)
         };
-        let base = find_free_ports(ip(0))?;
+        let ips: Vec<Ipv4Addr> = (0..plan.daemon_centres.len()).map(ip).collect();
+        let base = find_free_ports(&ips)?;
         for (at, centre) in plan.daemon_centres.iter().enumerate() {
             let name = format!("front-{centre}-{at}");
             let mut store = self.store.address;
--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -12,7 +12,7 @@
 /// Timeout for a local address to refuse a connection.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Finds consecutive free ports on an address and returns the first of them.
+/// Finds consecutive ports that are free on all these addresses and returns the first of them.
 ///
 /// A port counts as free if it refuses a connection. Binding it to find out would be unreliable: a
 /// process that another thread spawns meanwhile inherits a copy of the socket and holds it until it
@@ -20,11 +20,12 @@
 ///
 /// # Errors
 /// Fails if 100 random ranges all contain a port in use.
-pub fn find_free_ports(ip: Ipv4Addr) -> io::Result<u16> {
+pub fn find_free_ports(ips: &[Ipv4Addr]) -> io::Result<u16> {
     const MAX_TRIES: u32 = 100;
     for _ in 0..MAX_TRIES {
         let base = fastrand::u16(20_000..30_000);
-        if (base..base + PORT_COUNT).all(|port| refuses(ip, port)) {
+        let free = |ip: &Ipv4Addr| (base..base + PORT_COUNT).all(|port| refuses(*ip, port));
+        if ips.iter().all(free) {
             return Ok(base);
         }
     }
--- a/crates/standin/tests/ports.rs
+++ b/crates/standin/tests/ports.rs
@@ -33,7 +33,7 @@
         }
         let in_use: Vec<u16> = (0..ROUNDS)
             .filter_map(|_| {
-                let base = find_free_ports(ip).expect("a range of ports is free");
+                let base = find_free_ports(&[ip]).expect("a range of ports is free");
                 TcpListener::bind((ip, base)).err().map(|_| base)
             })
             .collect();
@@ -45,3 +45,21 @@
         "ports found to be free that can't be bound: {in_use:?}"
     );
 }
+
+#[test]
+fn a_port_in_use_on_any_address_is_not_free() {
+    let first = Ipv4Addr::new(127, 9, 9, 1);
+    let second = Ipv4Addr::new(127, 9, 9, 2);
+    let used: Vec<u16> = (20_000..30_000).step_by(50).collect();
+    let _listeners: Vec<TcpListener> = used
+        .iter()
+        .map(|port| TcpListener::bind((second, *port)).expect("a free port"))
+        .collect();
+    for _ in 0..ROUNDS {
+        let base = find_free_ports(&[first, second]).expect("a range of ports is free");
+        assert!(
+            !used.iter().any(|port| (base..base + 5).contains(port)),
+            "{base}"
+        );
+    }
+}
