Soak: a connection kept since before its daemon was killed excuses its request

The check excused requests that began before the daemon was back, but not one sent later on a connection of the killed process.

Change: the connection's opening counts in place of the request's beginning. A connection opened after the daemon is back is judged as before.

--- a/crates/standin/src/soak/report.rs
+++ b/crates/standin/src/soak/report.rs
@@ -142,10 +142,12 @@
         .map(|execution| execution.request.as_str())
         .collect();
     let disrupted = |request: &TimedResult| {
+        // A connection that was kept since before its daemon was killed ends whenever it is used.
+        let opened = request.began - request.result.conn_age;
         let end = request.began + request.result.elapsed;
         history.disrupted.iter().any(|interval| {
             indices.get(&request.result.daemon) == Some(&interval.subject)
-                && request.began <= interval.to
+                && opened <= interval.to
                 && end >= interval.from
         })
     };
