Worker notices: the limit that a worker names is decoded and logged

Change: platform decodes it into site::Notice, the worker's record keeps it, event 307 and the dump show it. No decision uses it yet. Unreadable values are ignored and logged once a process run of a worker; a misdirected response speaks for another worker.

Ruled out: a line for each response (unbounded).

--- a/crates/call/src/attempt_ending.rs
+++ b/crates/call/src/attempt_ending.rs
@@ -1,4 +1,7 @@
-use {derive_more::Display, site::LoadReport};
+use {
+    derive_more::Display,
+    site::{LoadReport, Notice},
+};
 
 /// How a request that was sent to a worker ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -48,4 +51,17 @@
     pub ending: AttemptEnding,
     /// The load that the worker reported with its response; `None` if it reported none.
     pub load: Option<LoadReport>,
+    /// What the worker asks of its callers; `None` if it did not respond.
+    pub notice: Option<Notice>,
+}
+
+impl AttemptReport {
+    /// The end of an attempt to which the worker did not respond.
+    pub const fn without_response(ending: AttemptEnding) -> Self {
+        Self {
+            ending,
+            load: None,
+            notice: None,
+        }
+    }
 }
--- a/crates/call/src/candidates.rs
+++ b/crates/call/src/candidates.rs
@@ -41,7 +41,7 @@
             self.select_worker(now, id);
             return;
         }
-        self.table.record_health(probe.worker, now, health);
+        self.record_health(now, probe.worker, health);
         let Some(candidate) = self.make_candidate(now, id, probe, health) else {
             self.release_link(probe.link);
             self.record_skip(now, id, probe.worker, None, health.load);
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -6,7 +6,7 @@
         call::{Attempt, Call, SelectionState},
         dispatcher::Dispatcher,
     },
-    pick::{AttemptOutcome, WorkerKey},
+    pick::{AttemptOutcome, NoticeSource, WorkerKey},
     unit::{Span, Time},
 };
 
@@ -103,6 +103,9 @@
         if let Some(load) = report.load {
             self.table.record_load(attempt.worker, now, load);
         }
+        if let Some(notice) = report.notice {
+            self.record_notice(attempt.worker, NoticeSource::Response, notice);
+        }
         if report.ending == AttemptEnding::Served
             && let Some(call) = self.calls.get(&id).cloned()
         {
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -1,14 +1,14 @@
 use {
     crate::{
         Arrival, CallAction, CallError, CallEvent, CallId, Decision, DecisionRecord, LinkId,
-        Policy, ProbeFailure,
+        NoticeChange, Policy, ProbeFailure,
         call::{Call, Candidate},
         split::Split,
     },
     fastrand::Rng,
     limit::RetryBudget,
-    pick::{LatencyEstimate, WorkerKey, WorkerTable},
-    site::{Config, LoadReport},
+    pick::{LatencyEstimate, NoticeSource, WorkerKey, WorkerTable},
+    site::{Config, HealthReport, LoadReport, Notice},
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc},
     unit::{Map, Name, Set, Span, Time},
 };
@@ -39,6 +39,8 @@
     pub(crate) splits: Map<Name, Split>,
     /// What this daemon knows of the workers.
     pub table: WorkerTable,
+    /// The changes that [`Self::take_notice_changes`] has not yet returned.
+    pub(crate) notice_changes: Vec<NoticeChange>,
     /// When each request is to be looked at again. Entries are not removed when they become
     /// obsolete.
     pub(crate) timers: BinaryHeap<Reverse<(Time, CallId)>>,
@@ -62,6 +64,7 @@
             rng,
             splits: Map::default(),
             table,
+            notice_changes: Vec::new(),
             timers: BinaryHeap::new(),
             latency_estimates: Map::default(),
         }
@@ -112,7 +115,7 @@
             CallEvent::CallerDisconnected(call) => self.caller_disconnected(call),
             CallEvent::ConnectEnded(link, result) => self.connect_ended(now, link, result),
             CallEvent::Tick => self.run_timers(now),
-            CallEvent::LateHealth(worker, health) => self.table.record_health(worker, now, &health),
+            CallEvent::LateHealth(worker, health) => self.record_health(now, worker, &health),
         }
         std::mem::take(&mut self.actions)
     }
@@ -122,6 +125,11 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Takes the changes of what workers ask of their callers since the last call, for the log.
+    pub fn take_notice_changes(&mut self) -> Vec<NoticeChange> {
+        std::mem::take(&mut self.notice_changes)
+    }
+
     /// Picks the request's service and starts worker selection.
     fn arrived(&mut self, now: Time, arrival: Arrival) {
         let max_wait = arrival.max_wait();
@@ -198,6 +206,29 @@
         self.start_hedge(now, id);
     }
 
+    /// Records a worker's response to a health probe.
+    pub(crate) fn record_health(&mut self, now: Time, worker: WorkerKey, health: &HealthReport) {
+        self.table.record_health(worker, now, health);
+        self.record_notice(worker, NoticeSource::Probe, health.notice);
+    }
+
+    /// Records what a worker asks of its callers.
+    pub(crate) fn record_notice(
+        &mut self,
+        worker: WorkerKey,
+        source: NoticeSource,
+        notice: Notice,
+    ) {
+        let changed = self.table.record_notice(worker, source, notice);
+        if changed {
+            self.notice_changes.push(NoticeChange {
+                source,
+                unreadable: notice.unreadable,
+                worker,
+            });
+        }
+    }
+
     /// Returns a candidate's cold-start permit and connection unused.
     pub(crate) fn discard_candidate(&mut self, candidate: &Candidate) {
         if let Some(permit) = candidate.cold_permit {
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -15,6 +15,7 @@
 mod decision;
 mod dispatcher;
 mod id;
+mod notice_change;
 mod policy;
 mod relay;
 mod selection;
@@ -29,6 +30,7 @@
     decision::{Decision, DecisionRecord},
     dispatcher::Dispatcher,
     id::{CallId, LinkId},
+    notice_change::NoticeChange,
     policy::Policy,
     relay::{Relay, RelayFailure, keeps_whole},
     startup_hold::StartupHold,
--- a/crates/call/tests/dispatcher/harness.rs
+++ b/crates/call/tests/dispatcher/harness.rs
@@ -8,8 +8,8 @@
     conf::Bounds,
     pick::{WorkerKey, WorkerTable},
     site::{
-        ColdStart, Config, HealthReport, LoadReport, Route, RouteKind, Service, Target, Worker,
-        WorkerState,
+        ColdStart, Config, HealthReport, LoadReport, Notice, Route, RouteKind, Service, Target,
+        Worker, WorkerState,
     },
     std::sync::Arc,
     unit::{Map, Name, Span, Time},
@@ -89,6 +89,7 @@
             slots: 4,
             waiting,
         }),
+        notice: Notice::default(),
     }
 }
 
@@ -213,7 +214,7 @@
     pub(crate) fn end_attempt(&mut self, link: LinkId, ending: AttemptEnding) {
         self.handle(CallEvent::AttemptEnded(
             link,
-            AttemptReport { ending, load: None },
+            AttemptReport::without_response(ending),
         ));
     }
 
--- a/crates/call/tests/dispatcher/random.rs
+++ b/crates/call/tests/dispatcher/random.rs
@@ -129,7 +129,7 @@
         ) {
             self.records.entry(call).or_default().maybe_ran -= 1;
         }
-        let report = AttemptReport { ending, load: None };
+        let report = AttemptReport::without_response(ending);
         self.harness.handle(CallEvent::AttemptEnded(link, report));
     }
 
--- a/crates/call/tests/simulation/sim_worker.rs
+++ b/crates/call/tests/simulation/sim_worker.rs
@@ -2,7 +2,7 @@
 
 use {
     call::LinkId,
-    site::{HealthReport, LoadReport},
+    site::{HealthReport, LoadReport, Notice},
     std::collections::VecDeque,
     unit::Span,
 };
@@ -62,6 +62,7 @@
             healthy: true,
             id: None,
             load: Some(self.load()),
+            notice: Notice::default(),
         }
     }
 
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -13,7 +13,7 @@
         Policy,
     },
     fastrand::Rng,
-    site::{Route, RouteKind},
+    site::{Notice, Route, RouteKind},
     std::{collections::BTreeMap, sync::Arc},
     unit::{Map, Span, Time},
 };
@@ -165,6 +165,7 @@
                 let report = AttemptReport {
                     ending: AttemptEnding::Served,
                     load: Some(worker.load()),
+                    notice: Some(Notice::default()),
                 };
                 let message =
                     Message::ToDaemon(job.daemon, CallEvent::AttemptEnded(job.link, report));
@@ -201,6 +202,7 @@
             let report = AttemptReport {
                 ending: AttemptEnding::NotRun,
                 load: Some(worker.load()),
+                notice: Some(Notice::default()),
             };
             self.post(Message::ToDaemon(
                 job.daemon,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -318,6 +318,7 @@
         while let Some(event) = self.call_events.pop_front() {
             let actions = self.dispatcher.handle(now, event);
             self.log_decisions(now);
+            self.log_notice_changes(now);
             for action in actions {
                 self.perform(now, action);
             }
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -4,7 +4,7 @@
     crate::daemon::Daemon,
     pick::WorkerRecord,
     serde_json::{Value, json},
-    unit::Time,
+    unit::{Rate, Time},
 };
 
 impl Daemon {
@@ -101,5 +101,6 @@
         "cold": record.is_cold(now),
         "slowness": record.slowness(now),
         "load": load,
+        "limit": record.rate_limit().map(Rate::as_per_second),
     })
 }
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -42,6 +42,7 @@
     304 WORKER_GONE "worker-gone";
     305 WORKER_ENTRY_STALE "worker-entry-stale";
     306 ROUTE_PROBLEM "route-problem";
+    307 WORKER_NOTICE "worker-notice";
     400 SENT "sent";
     401 ANSWERED "answered";
     402 PASSED "passed";
--- a/crates/daemon/src/relays.rs
+++ b/crates/daemon/src/relays.rs
@@ -61,6 +61,7 @@
             let report = AttemptReport {
                 ending: AttemptEnding::Served,
                 load: head.load,
+                notice: Some(head.notice),
             };
             self.dispatch(now, CallEvent::AttemptEnded(link, report));
             if !self.relays.contains_key(&call) {
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -7,7 +7,7 @@
     platform::problem_response,
     serde_json::{Value, json},
     site::LoadReport,
-    unit::{Name, Time},
+    unit::{Name, Rate, Time},
     wire::{Request, Response},
 };
 
@@ -93,6 +93,23 @@
         }
     }
 
+    /// Logs what workers newly ask of their callers.
+    pub(crate) fn log_notice_changes(&mut self, now: Time) {
+        for change in self.dispatcher.take_notice_changes() {
+            let Some(record) = self.dispatcher.table.get(change.worker) else {
+                continue;
+            };
+            let fields = json!({
+                "worker": record.worker.id,
+                "service": record.worker.service,
+                "limit": record.rate_limit().map(Rate::as_per_second),
+                "source": change.source.to_string(),
+                "unreadable": change.unreadable,
+            });
+            self.log_event(now, log_event::WORKER_NOTICE, fields);
+        }
+    }
+
     /// Logs and counts a decision about the request with this id.
     fn log_decision(&mut self, now: Time, request: &str, record: &DecisionRecord) {
         let elapsed = record.elapsed.as_millis();
--- a/crates/daemon/src/worker_responses.rs
+++ b/crates/daemon/src/worker_responses.rs
@@ -180,6 +180,7 @@
         let report = AttemptReport {
             ending: classify(head, &response),
             load: head.load,
+            notice: (!head.misdirected).then_some(head.notice),
         };
         let keep = !response.closes_connection && report.ending != AttemptEnding::InvalidResponse;
         if report.ending == AttemptEnding::Served || report.ending == AttemptEnding::Failed {
@@ -277,7 +278,7 @@
                 };
                 self.links.remove(&link);
                 self.close_worker(conn_key);
-                let report = AttemptReport { ending, load: None };
+                let report = AttemptReport::without_response(ending);
                 self.dispatch(now, CallEvent::AttemptEnded(link, report));
             }
             WorkerPhase::ProbeAbandoned | WorkerPhase::Reserved(_) | WorkerPhase::Idle => {
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -113,10 +113,7 @@
         if self.try_send_request(now, call, link, time_left).is_none() {
             // The request, its worker or its connection was gone before any byte was sent.
             self.links.remove(&link);
-            let report = AttemptReport {
-                ending: AttemptEnding::Unsent,
-                load: None,
-            };
+            let report = AttemptReport::without_response(AttemptEnding::Unsent);
             self.call_events
                 .push_back(CallEvent::AttemptEnded(link, report));
         }
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -4,6 +4,7 @@
 mod attempt_outcome;
 mod latency_estimate;
 mod median_estimate;
+mod named_limit;
 mod selection;
 mod worker_key;
 mod worker_record;
@@ -13,6 +14,7 @@
     attempt_outcome::AttemptOutcome,
     latency_estimate::LatencyEstimate,
     median_estimate::MedianEstimate,
+    named_limit::NoticeSource,
     selection::{Criteria, Selection},
     worker_key::WorkerKey,
     worker_record::{Standing, WorkerRecord},
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -1,8 +1,10 @@
 use {
-    crate::{LatencyEstimate, latency_estimate::SLOW_PERCENT},
+    crate::{
+        LatencyEstimate, NoticeSource, latency_estimate::SLOW_PERCENT, named_limit::NamedLimit,
+    },
     limit::{ColdStartBudget, ProbeBudget},
-    site::{HealthReport, LoadReport, Worker, WorkerState},
-    unit::{Span, Time},
+    site::{HealthReport, LoadReport, Notice, Worker, WorkerState},
+    unit::{Rate, Span, Time},
 };
 
 /// The backoff after a failed connection or a missing response; doubled with each further failure
@@ -67,8 +69,12 @@
     /// Its last reported load, with `running` adjusted for what this daemon sent since, and when
     /// the report came.
     pub(crate) load: Option<(LoadReport, Time)>,
+    /// The limit that it names.
+    pub(crate) named_limit: NamedLimit,
     /// This daemon's share of the health probes that the worker may get.
     pub(crate) probe_budget: ProbeBudget,
+    /// Whether one of its responses held a value that can't be read.
+    unreadable: bool,
     /// Whether its health endpoint last reported it unhealthy.
     pub(crate) unhealthy: bool,
     /// The moving average, on a logarithmic scale, of the ratio of the actual latency to the one
@@ -97,7 +103,9 @@
             in_flight: 0,
             leaving_until: None,
             load: None,
+            named_limit: NamedLimit::default(),
             probe_budget: ProbeBudget::new(now),
+            unreadable: false,
             unhealthy: false,
             slowness: 1.0,
             slowness_at: now,
@@ -164,6 +172,11 @@
         now < self.cold_until
     }
 
+    /// The requests per second that it takes from all daemons together; `None` if it names no limit.
+    pub fn rate_limit(&self) -> Option<Rate> {
+        self.named_limit.rate()
+    }
+
     /// Its last known load and how long ago it was reported.
     pub fn load(&self, now: Time) -> Option<(LoadReport, Span)> {
         self.load.map(|(load, at)| (load, now.since(at)))
@@ -221,6 +234,15 @@
         }
     }
 
+    /// Records what it asks of its callers in a response, and returns whether that is new. Only the
+    /// first value that can't be read is.
+    pub(crate) fn record_notice(&mut self, source: NoticeSource, notice: Notice) -> bool {
+        let first_unreadable = notice.unreadable && !self.unreadable;
+        self.unreadable |= notice.unreadable;
+        let limit_changed = self.named_limit.record(source, notice.rate_limit);
+        limit_changed || first_unreadable
+    }
+
     /// Starts a backoff; each one in a row is twice as long as the one before, up to the maximum.
     pub(crate) fn record_unreachable(&mut self, now: Time) {
         let span = (BASE_BACKOFF * (1 << self.backoff_exponent)).min(MAX_BACKOFF);
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -1,7 +1,7 @@
 use {
-    crate::{AttemptOutcome, Standing, WorkerKey, WorkerRecord},
+    crate::{AttemptOutcome, NoticeSource, Standing, WorkerKey, WorkerRecord},
     limit::FleetPosition,
-    site::{Departure, HealthReport, LoadReport, Service, Worker, WorkerState},
+    site::{Departure, HealthReport, LoadReport, Notice, Service, Worker, WorkerState},
     unit::{Map, Name, Set, Span, Time, rendezvous_weight},
 };
 
@@ -222,6 +222,12 @@
         }
     }
 
+    /// Records what a worker asks of its callers in a response, and returns whether that is new.
+    pub fn record_notice(&mut self, key: WorkerKey, source: NoticeSource, notice: Notice) -> bool {
+        let record = self.records.get_mut(&key);
+        record.is_some_and(|record| record.record_notice(source, notice))
+    }
+
     /// Records the load that a worker reported with its response to a request.
     pub fn record_load(&mut self, key: WorkerKey, now: Time, load: LoadReport) {
         if let Some(record) = self.records.get_mut(&key) {
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -9,10 +9,11 @@
 use {
     fastrand::Rng,
     pick::{
-        AttemptOutcome, Criteria, LatencyEstimate, MedianEstimate, Standing, WorkerKey, WorkerTable,
+        AttemptOutcome, Criteria, LatencyEstimate, MedianEstimate, NoticeSource, Standing,
+        WorkerKey, WorkerTable,
     },
-    site::{Departure, HealthReport, LoadReport, Worker, WorkerState},
-    unit::{Name, Span, Time},
+    site::{Departure, HealthReport, LoadReport, Notice, Worker, WorkerState},
+    unit::{Name, Rate, Span, Time},
 };
 
 fn at(millis: u64) -> Time {
@@ -43,6 +44,7 @@
         healthy: true,
         id: None,
         load,
+        notice: Notice::default(),
     }
 }
 
@@ -325,3 +327,27 @@
     table.record_health(keys[7], at(0), &health(None));
     assert_eq!(selection_order(&table, at(1_000))[0], Name::from("w-7"));
 }
+
+#[test]
+fn only_news_of_a_named_limit_is_reported() {
+    let mut table = table();
+    let key = table.upsert(worker("x", "a"), at(0));
+    let limit = |rate| Notice {
+        rate_limit: Rate::per_second(rate),
+        unreadable: false,
+    };
+    let named = |table: &WorkerTable| table.get(key).expect("a worker").rate_limit();
+    assert!(table.record_notice(key, NoticeSource::Response, limit(2.0)));
+    assert!(!table.record_notice(key, NoticeSource::Response, limit(2.0)));
+    assert!(!table.record_notice(key, NoticeSource::Probe, Notice::default()));
+    assert_eq!(named(&table), Rate::per_second(2.0));
+    assert!(table.record_notice(key, NoticeSource::Probe, limit(1.0)));
+    assert!(table.record_notice(key, NoticeSource::Probe, Notice::default()));
+    assert_eq!(named(&table), None);
+    let unreadable = Notice {
+        unreadable: true,
+        ..Notice::default()
+    };
+    assert!(table.record_notice(key, NoticeSource::Response, unreadable));
+    assert!(!table.record_notice(key, NoticeSource::Response, unreadable));
+}
--- a/crates/site/src/health_report.rs
+++ b/crates/site/src/health_report.rs
@@ -1,6 +1,7 @@
 //! What workers report about their health and load.
 
 use {
+    crate::Notice,
     serde::{Deserialize, Serialize},
     unit::Span,
 };
@@ -29,4 +30,6 @@
     pub id: Option<unit::Name>,
     /// The worker's load, if given.
     pub load: Option<LoadReport>,
+    /// What the worker asks of its callers.
+    pub notice: Notice,
 }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -7,7 +7,7 @@
 mod config;
 mod departure;
 mod health_report;
-
+mod notice;
 mod revs;
 mod route;
 mod route_kind;
@@ -22,6 +22,7 @@
     config::Config,
     departure::{DepartedWorker, Departure},
     health_report::{HealthReport, LoadReport},
+    notice::Notice,
     revs::{Era, Rev, Revs},
     route::{Route, Target},
     route_kind::RouteKind,
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -8,7 +8,7 @@
     platform::standin::{
         health_response, misdirected_response, not_run_response, read_forwarded_head, sign_response,
     },
-    site::{HealthReport, LoadReport, Worker, WorkerState},
+    site::{HealthReport, LoadReport, Notice, Worker, WorkerState},
     std::{
         io::{self, ErrorKind},
         net::{Ipv4Addr, SocketAddrV4, TcpStream},
@@ -262,6 +262,7 @@
             healthy: state.healthy,
             id: Some(self.id.clone()),
             load: Some(self.load(&state)),
+            notice: Notice::default(),
         }
     }
 
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod clock;
 mod hash;
+mod rate;
 mod span;
 mod time;
 
 pub use {
     clock::Clock,
     hash::{Map, Set, digest, rendezvous_weight},
+    rate::Rate,
     span::Span,
     time::Time,
 };
