Failing tests: workers that name a limit get more than it

In virtual time with 13 daemons before 14 workers and two that name 3.6 and 2.6 a second, with all workers limited and demand above them, and with 130 daemons before 60 workers; with four real daemons before one worker (2 a second).

--- a/crates/call/tests/simulation/main.rs
+++ b/crates/call/tests/simulation/main.rs
@@ -7,6 +7,7 @@
     reason = "a test fails by panicking"
 )]
 
+mod limits;
 mod loads;
 mod report;
 mod scenario;
--- a/crates/call/tests/simulation/scenario.rs
+++ b/crates/call/tests/simulation/scenario.rs
@@ -1,6 +1,9 @@
 //! The fleet and the requests of a simulation.
 
-use {site::RouteKind, unit::Span};
+use {
+    site::RouteKind,
+    unit::{Rate, Span},
+};
 
 /// What a simulation consists of.
 #[derive(Clone, Debug)]
@@ -8,6 +11,8 @@
     /// The number of data centres. Daemons and workers are assigned to them in turn.
     pub(crate) centres: usize,
     pub(crate) daemons: usize,
+    /// The limits that the first workers name in their responses, in their order.
+    pub(crate) rate_limits: Vec<Rate>,
     /// The requests of the callers, by route.
     pub(crate) workloads: Vec<Workload>,
     pub(crate) seed: u64,
@@ -42,6 +47,7 @@
         Self {
             centres: 4,
             daemons: 13,
+            rate_limits: Vec::new(),
             workloads,
             seed: 1,
             refuse_fraction: 0.0,
--- a/crates/call/tests/simulation/sim_worker.rs
+++ b/crates/call/tests/simulation/sim_worker.rs
@@ -4,7 +4,7 @@
     call::LinkId,
     site::{HealthReport, LoadReport, Notice},
     std::collections::VecDeque,
-    unit::Span,
+    unit::{Map, Span, Time},
 };
 
 /// How many times as long a request takes on a slow worker.
@@ -23,21 +23,30 @@
 /// A simulated worker.
 #[derive(Debug)]
 pub(crate) struct SimWorker {
+    /// The requests that arrived: when, and from which daemon.
+    pub(crate) arrivals: Vec<(Time, usize)>,
+    /// What its responses to requests ask of the daemons.
+    notice: Notice,
     /// The number of health probes received.
     pub(crate) probes: usize,
     running: Vec<Job>,
     slots: u32,
     slow: bool,
+    /// When each daemon first got a response with a limit.
+    pub(crate) told: Map<usize, Time>,
     waiting: VecDeque<Job>,
 }
 
 impl SimWorker {
-    pub(crate) fn new(slots: u32) -> Self {
+    pub(crate) fn new(slots: u32, notice: Notice) -> Self {
         Self {
+            arrivals: Vec::new(),
+            notice,
             probes: 0,
             running: Vec::new(),
             slots,
             slow: false,
+            told: Map::default(),
             waiting: VecDeque::new(),
         }
     }
@@ -55,6 +64,14 @@
         }
     }
 
+    /// What a response to a daemon's request asks of it.
+    pub(crate) fn tell(&mut self, now: Time, daemon: usize) -> Notice {
+        if self.notice.rate_limit.is_some() {
+            self.told.entry(daemon).or_insert(now);
+        }
+        self.notice
+    }
+
     pub(crate) fn health(&mut self) -> HealthReport {
         self.probes += 1;
         HealthReport {
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -19,6 +19,8 @@
 };
 
 const STEP: Span = Span::millis(1);
+/// When a simulation begins.
+const START: Span = Span::secs(100);
 /// The interval, in steps, at which it is drawn anew which workers are slow.
 const REDRAW_STEPS: u64 = 150;
 /// The time for the estimates to settle before responses are counted.
@@ -36,7 +38,7 @@
 /// A running simulation.
 pub(crate) struct Simulation {
     daemons: Vec<SimDaemon>,
-    workers: Vec<SimWorker>,
+    pub(crate) workers: Vec<SimWorker>,
     messages: BTreeMap<Time, Vec<Message>>,
     next_call: u64,
     now: Time,
@@ -54,12 +56,18 @@
 
 impl Simulation {
     pub(crate) fn new(scenario: &Scenario, policy: Policy) -> Self {
-        let now = Time::at(Span::secs(100));
+        let now = Time::at(START);
         let daemons = (0..scenario.daemons).map(|at| SimDaemon::new(at, scenario, policy, now));
         Self {
             daemons: daemons.collect(),
             workers: (0..scenario.workers)
-                .map(|_| SimWorker::new(scenario.slots))
+                .map(|at| {
+                    let notice = Notice {
+                        rate_limit: scenario.rate_limits.get(at).copied(),
+                        ..Notice::default()
+                    };
+                    SimWorker::new(scenario.slots, notice)
+                })
                 .collect(),
             messages: BTreeMap::new(),
             next_call: 0,
@@ -103,7 +111,12 @@
         assert!(self.repeats as f64 <= limit, "{} repeats", self.repeats);
     }
 
-    fn run(&mut self, span: Span) {
+    /// When the simulation began.
+    pub(crate) const fn start() -> Time {
+        Time::at(START)
+    }
+
+    pub(crate) fn run(&mut self, span: Span) {
         let end = self.now + span;
         let mut step = 0;
         while self.now < end {
@@ -165,7 +178,7 @@
                 let report = AttemptReport {
                     ending: AttemptEnding::Served,
                     load: Some(worker.load()),
-                    notice: Some(Notice::default()),
+                    notice: Some(worker.tell(self.now, job.daemon)),
                 };
                 let message =
                     Message::ToDaemon(job.daemon, CallEvent::AttemptEnded(job.link, report));
@@ -198,11 +211,12 @@
     fn arrive(&mut self, worker: usize, job: Job) {
         let refuses = self.rng.f64() < self.scenario.refuse_fraction;
         let worker = &mut self.workers[worker];
+        worker.arrivals.push((self.now, job.daemon));
         if refuses || !worker.arrive(job) {
             let report = AttemptReport {
                 ending: AttemptEnding::NotRun,
                 load: Some(worker.load()),
-                notice: Some(Notice::default()),
+                notice: Some(worker.tell(self.now, job.daemon)),
             };
             self.post(Message::ToDaemon(
                 job.daemon,
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -11,6 +11,7 @@
 mod daemons;
 mod downloads;
 mod explain;
+mod notices;
 mod restores;
 mod store;
 mod support;
--- /dev/null
+++ b/crates/daemon/tests/failures/notices.rs
@@ -0,0 +1,45 @@
+//! Workers that ask something of their callers in their responses.
+
+use {
+    crate::support::{default_plan, run_load},
+    site::Notice,
+    standin::{Execution, Fleet},
+    std::time::{Duration, Instant},
+    unit::Rate,
+};
+
+/// The time that daemons have to comply with a limit.
+const SETTLING: Duration = Duration::from_secs(3);
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// The most executions that began within any window.
+fn most_in_window(runs: &[Execution]) -> usize {
+    let within = |first: &Execution| {
+        let others = runs.iter();
+        let others =
+            others.filter(|run| run.began >= first.began && run.began < first.began + WINDOW);
+        others.count()
+    };
+    runs.iter().map(within).max().unwrap_or_default()
+}
+
+#[test]
+fn a_worker_that_names_a_limit_gets_no_more_from_the_whole_fleet() {
+    let mut plan = default_plan();
+    plan.worker_centres = vec!["a"];
+    let fleet = Fleet::start(&plan).expect("a fleet");
+    let limit = 2.0;
+    fleet.workers[0].set_notice(Notice {
+        rate_limit: Rate::per_second(limit),
+        ..Notice::default()
+    });
+    let began = Instant::now();
+    run_load(&fleet, &[0, 1, 2, 3], 9_000);
+    let runs = fleet.executions.entries();
+    let settled = |run: &&Execution| run.began >= began + SETTLING;
+    let runs: Vec<Execution> = runs.iter().filter(settled).cloned().collect();
+    let bound = limit * WINDOW.as_secs_f64() * 1.5 + 5.0;
+    let most = most_in_window(&runs);
+    assert!(most as f64 <= bound, "{most} requests of {bound}");
+    assert!(!runs.is_empty());
+}
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -6,7 +6,8 @@
         server::{Reply, Server},
     },
     platform::standin::{
-        health_response, misdirected_response, not_run_response, read_forwarded_head, sign_response,
+        add_notice, health_response, misdirected_response, not_run_response, read_forwarded_head,
+        sign_response,
     },
     site::{HealthReport, LoadReport, Notice, Worker, WorkerState},
     std::{
@@ -71,6 +72,8 @@
     last_request: Option<String>,
     /// The time that requests take on this machine, in percent of the normal time.
     latency_percent: u32,
+    /// What responses to requests ask of the callers.
+    notice: Notice,
     running: u32,
     waiting: u32,
 }
@@ -130,6 +133,7 @@
                 healthy: true,
                 last_request: None,
                 latency_percent: NORMAL_PERCENT,
+                notice: Notice::default(),
                 running: 0,
                 waiting: 0,
             }),
@@ -175,6 +179,11 @@
         self.shared.lock().body_bytes = bytes;
     }
 
+    /// Sets what responses to requests ask of the callers. Responses to health probes don't say it.
+    pub fn set_notice(&self, notice: Notice) {
+        self.shared.lock().notice = notice;
+    }
+
     /// Makes the worker cold for `duration`.
     pub fn set_cold(&self, duration: Duration) {
         self.shared.lock().cold_end = Some(Instant::now() + duration);
@@ -222,7 +231,9 @@
         };
         let end = Instant::now() + Duration::from(head.time_left);
         if !self.take_slot(end) {
-            return Reply::Response(not_run_response());
+            let mut response = not_run_response();
+            add_notice(&mut response.headers, self.lock().notice);
+            return Reply::Response(response);
         }
         let execution = self.executions.begin(Execution {
             began: Instant::now(),
@@ -335,9 +346,9 @@
         fault: WorkerFault,
         last_request: Option<String>,
     ) -> Reply {
-        let (load, body_bytes) = {
+        let (load, body_bytes, notice) = {
             let state = self.lock();
-            (self.load(&state), state.body_bytes)
+            (self.load(&state), state.body_bytes, state.notice)
         };
         let mut response = Response::new(if fault == WorkerFault::Errors {
             500
@@ -348,6 +359,7 @@
         let length = response.body.len().max(body_bytes);
         response.body.resize(length, b'.');
         sign_response(&mut response, id, load);
+        add_notice(&mut response.headers, notice);
         match fault {
             WorkerFault::Errors | WorkerFault::None | WorkerFault::Slow(_) => {
                 Reply::Response(response)
