Workers' own limits: each daemon keeps to a share of the limit that a worker names

Change: limit::RequestBudget. The limit times four seconds, rounded up, is divided among the registered daemons, six tenths for the worker's own data centre, remainders by rank; a low limit is counted over a longer window. A daemon without a share sends one request now and then (0.5 a second by all of them) to learn that the limit ended. Selection leaves out a worker whose share is used up, and the check is made again when the request is sent, so that connections kept ready, retries and hedges can't pass it by. Callers that find all workers so are rejected at once.

--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -16,6 +16,8 @@
 /// The delay after which a caller may retry if its request was sent and did not run, such as when
 /// workers refused it.
 const RETRY_AFTER_REFUSED: Span = Span::millis(10);
+/// The largest fraction by which the delay is longer where workers admit no requests.
+const RETRY_AFTER_JITTER: f64 = 0.5;
 
 impl Dispatcher {
     /// Handles the end of an attempt: delivers its response, retries the request or ends it.
@@ -104,7 +106,7 @@
             self.table.record_load(attempt.worker, now, load);
         }
         if let Some(notice) = report.notice {
-            self.record_notice(attempt.worker, NoticeSource::Response, notice);
+            self.record_notice(now, attempt.worker, NoticeSource::Response, notice);
         }
         if report.ending == AttemptEnding::Served
             && let Some(call) = self.calls.get(&id).cloned()
@@ -158,9 +160,26 @@
         } else {
             CallError::NotRun(call.route.objective.scale(RETRY_AFTER_FRACTION))
         };
+        let error = self.await_opening(now, id, error);
         self.fail_call(now, id, error);
     }
 
+    /// The error of a request that did not run, with a delay until the first worker admits requests
+    /// again, if none does now. Other daemons may still have shares of the workers' limits, so the
+    /// delay is no longer than for a request that was not sent.
+    fn await_opening(&mut self, now: Time, id: CallId, error: CallError) -> CallError {
+        let (CallError::NotRun(_), Some(call)) = (error, self.calls.get(&id)) else {
+            return error;
+        };
+        let Some(opening) = self.table.next_opening(&call.service, now) else {
+            return error;
+        };
+        let longest = call.route.objective.scale(RETRY_AFTER_FRACTION);
+        let delay = opening.since(now).min(longest).max(RETRY_AFTER_REFUSED);
+        // Callers that are rejected together don't return together.
+        CallError::NotRun(delay.scale(1.0 + self.rng.f64() * RETRY_AFTER_JITTER))
+    }
+
     /// Ends the request with an error response from the daemon itself.
     pub(crate) fn fail_call(&mut self, now: Time, id: CallId, error: CallError) {
         self.record(now, id, Decision::Failed(error));
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -209,17 +209,18 @@
     /// Records a worker's response to a health probe.
     pub(crate) fn record_health(&mut self, now: Time, worker: WorkerKey, health: &HealthReport) {
         self.table.record_health(worker, now, health);
-        self.record_notice(worker, NoticeSource::Probe, health.notice);
+        self.record_notice(now, worker, NoticeSource::Probe, health.notice);
     }
 
     /// Records what a worker asks of its callers.
     pub(crate) fn record_notice(
         &mut self,
+        now: Time,
         worker: WorkerKey,
         source: NoticeSource,
         notice: Notice,
     ) {
-        let changed = self.table.record_notice(worker, source, notice);
+        let changed = self.table.record_notice(worker, now, source, notice);
         if changed {
             self.notice_changes.push(NoticeChange {
                 source,
--- a/crates/call/src/sending.rs
+++ b/crates/call/src/sending.rs
@@ -39,13 +39,22 @@
     }
 
     /// Sends the request to a candidate if there is time left and, for a retry or a hedge, a permit
-    /// from the retry budget. Otherwise stops the hedge or gives up.
+    /// from the retry budget. Otherwise stops the hedge or gives up. Selects another worker if this
+    /// one admits no more requests.
     pub(crate) fn send(&mut self, now: Time, id: CallId, candidate: Candidate) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         call.candidate = None;
         call.probed.clear();
+        if !self.table.may_send(candidate.worker, now) {
+            self.discard_candidate(&candidate);
+            self.select_worker(now, id);
+            return;
+        }
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
         let left = call.deadline.since(now);
         let repeat = call.sends > 0;
         let hedge = call.selection == SelectionState::Hedge;
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -4,12 +4,14 @@
 
 mod cold_start_budget;
 mod probe_budget;
+mod request_budget;
 mod retry_budget;
 mod sliding_window;
 
 pub use {
     cold_start_budget::{ColdStartBudget, FleetPosition},
     probe_budget::ProbeBudget,
+    request_budget::{LOCAL_FRACTION, Placement, RequestBudget},
     retry_budget::RetryBudget,
     sliding_window::SlidingWindow,
 };
--- a/crates/limit/src/sliding_window.rs
+++ b/crates/limit/src/sliding_window.rs
@@ -34,6 +34,21 @@
         }
     }
 
+    /// The time of the latest event, if one is in the window.
+    pub fn latest(&self) -> Option<Time> {
+        self.events.back().copied()
+    }
+
+    /// The time of the event that `index` later events follow, if it is kept.
+    pub fn nth_latest(&self, index: usize) -> Option<Time> {
+        self.events.iter().rev().nth(index).copied()
+    }
+
+    /// Changes the length of the window. Events that have left the window before stay forgotten.
+    pub fn set_span(&mut self, span: Span) {
+        self.span = span;
+    }
+
     /// The number of events in the window that ends at `now`.
     pub fn count(&mut self, now: Time) -> usize {
         self.expire(now);
--- a/crates/limit/tests/shares.rs
+++ b/crates/limit/tests/shares.rs
@@ -7,9 +7,12 @@
 )]
 
 use {
-    limit::{ColdStartBudget, FleetPosition, ProbeBudget, RetryBudget, SlidingWindow},
+    limit::{
+        ColdStartBudget, FleetPosition, Placement, ProbeBudget, RequestBudget, RetryBudget,
+        SlidingWindow,
+    },
     quickcheck::quickcheck,
-    unit::{Span, Time},
+    unit::{Rate, Span, Time},
 };
 
 fn at(millis: u64) -> Time {
@@ -130,3 +133,72 @@
     while budget.take_permit(at(0), 10, 0.5) {}
     assert!(budget.take_permit(at(0), 10, 1.0));
 }
+
+/// The placement of the daemon with an index, where the first `local` ones are in the worker's data
+/// centre.
+fn placement(index: usize, local: usize, count: usize) -> Placement {
+    let is_local = index < local;
+    Placement {
+        is_local,
+        local,
+        rank: if is_local { index } else { index - local },
+        remote: count - local,
+    }
+}
+
+quickcheck! {
+    /// A worker gets no more requests than it named in any four seconds, rounded up to whole ones,
+    /// whatever the daemons try to send.
+    fn request_budgets_keep_the_limit(
+        tries: Vec<(u16, u8)>,
+        limit: u8,
+        count: u8,
+        local: u8
+    ) -> bool {
+        let count = usize::from(count % 40) + 1;
+        let local = usize::from(local) % (count + 1);
+        let limit = f64::from(limit % 100) / 10.0;
+        let mut budgets = vec![RequestBudget::default(); count];
+        for (index, budget) in budgets.iter_mut().enumerate() {
+            budget.set_limit(Rate::per_second(limit), placement(index, local, count));
+            budget.confirm(at(0));
+        }
+        let mut sent = Vec::new();
+        let mut tries: Vec<(u64, usize)> = tries
+            .into_iter()
+            .map(|(time, index)| (u64::from(time) % 8_000, usize::from(index) % count))
+            .collect();
+        tries.sort_unstable();
+        for (time, index) in tries {
+            for _ in 0..4 {
+                if budgets[index].next_opening(at(time)) <= at(time) {
+                    budgets[index].record(at(time));
+                    sent.push(time);
+                }
+            }
+        }
+        // A limit of less than one request a second is counted over a longer time.
+        let most = (limit * 4.0).ceil().max(4.0) as usize;
+        // Daemons without a share send one request in two seconds, all together.
+        most_in(&sent, 4_000) <= most + 2
+    }
+
+    /// The daemons' shares of a limit add up to it, however they are spread.
+    fn shares_of_a_limit_leave_nothing(limit: u8, count: u8, local: u8) -> bool {
+        let count = usize::from(count % 40) + 1;
+        let local = usize::from(local) % (count + 1);
+        let limit = f64::from(limit) / 10.0 + 0.1;
+        let mut total = 0;
+        for index in 0..count {
+            let mut budget = RequestBudget::default();
+            budget.set_limit(Rate::per_second(limit), placement(index, local, count));
+            budget.confirm(at(0));
+            while budget.next_opening(at(0)) <= at(0) {
+                budget.record(at(0));
+                total += 1;
+            }
+        }
+        let window = (4.0 / limit).clamp(4.0, 60.0);
+        f64::from(total) >= limit * window - 1e-6
+    }
+}
--- a/crates/pick/src/selection.rs
+++ b/crates/pick/src/selection.rs
@@ -44,7 +44,8 @@
 impl WorkerTable {
     /// Selects the next worker for a request. Workers of the own data centre rank first, those that
     /// were just found slow or full later, those that failed recently or leave last; workers of
-    /// equal rank are compared by cost. Barred workers are never selected.
+    /// equal rank are compared by cost. Workers that are barred, or whose own limit admits no request
+    /// now, are never selected.
     pub fn select(&self, now: Time, criteria: &Criteria<'_>, rng: &mut Rng) -> Option<Selection> {
         let keys = self.services.get(criteria.service)?;
         let explore = rng.u32(..EXPLORE_ONE_IN) == 0;
@@ -60,7 +61,7 @@
             // While other workers can be reached, a probe of one in backoff would be wasted.
             let skipped = (any_usable && record.in_backoff(now))
                 || (criteria.skip_busy && record.busy_within(now, BUSY_EXCLUSION));
-            if standing == Standing::Barred || skipped {
+            if standing == Standing::Barred || skipped || !record.is_open(now) {
                 continue;
             }
             let local = record.worker.centre == self.centre;
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -2,7 +2,7 @@
     crate::{
         LatencyEstimate, NoticeSource, latency_estimate::SLOW_PERCENT, named_limit::NamedLimit,
     },
-    limit::{ColdStartBudget, ProbeBudget},
+    limit::{ColdStartBudget, Placement, ProbeBudget, RequestBudget},
     site::{HealthReport, LoadReport, Notice, Worker, WorkerState},
     unit::{Rate, Span, Time},
 };
@@ -73,6 +73,8 @@
     pub(crate) named_limit: NamedLimit,
     /// This daemon's share of the health probes that the worker may get.
     pub(crate) probe_budget: ProbeBudget,
+    /// The requests that this daemon sends it, within its share of the limit that it names.
+    pub(crate) request_budget: RequestBudget,
     /// Whether one of its responses held a value that can't be read.
     unreadable: bool,
     /// Whether its health endpoint last reported it unhealthy.
@@ -105,6 +107,7 @@
             load: None,
             named_limit: NamedLimit::default(),
             probe_budget: ProbeBudget::new(now),
+            request_budget: RequestBudget::default(),
             unreadable: false,
             unhealthy: false,
             slowness: 1.0,
@@ -177,6 +180,22 @@
         self.named_limit.rate()
     }
 
+    /// Whether the limit that it names, if any, admits a request of this daemon now.
+    pub(crate) fn is_open(&self, now: Time) -> bool {
+        self.next_opening(now) <= now
+    }
+
+    /// When the limit that it names, if any, admits the next request of this daemon.
+    pub(crate) fn next_opening(&self, now: Time) -> Time {
+        self.request_budget.next_opening(now)
+    }
+
+    /// Sets this daemon's share of the limit that it names, if any.
+    pub(crate) fn divide_limit(&mut self, placement: Placement) {
+        self.request_budget
+            .set_limit(self.named_limit.rate(), placement);
+    }
+
     /// Its last known load and how long ago it was reported.
     pub fn load(&self, now: Time) -> Option<(LoadReport, Span)> {
         self.load.map(|(load, at)| (load, now.since(at)))
@@ -236,7 +255,15 @@
 
     /// Records what it asks of its callers in a response, and returns whether that is new. Only the
     /// first value that can't be read is.
-    pub(crate) fn record_notice(&mut self, source: NoticeSource, notice: Notice) -> bool {
+    pub(crate) fn record_notice(
+        &mut self,
+        now: Time,
+        source: NoticeSource,
+        notice: Notice,
+    ) -> bool {
+        if notice.rate_limit.is_some() {
+            self.request_budget.confirm(now);
+        }
         let first_unreadable = notice.unreadable && !self.unreadable;
         self.unreadable |= notice.unreadable;
         let limit_changed = self.named_limit.record(source, notice.rate_limit);
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -1,14 +1,10 @@
 use {
     crate::{AttemptOutcome, NoticeSource, Standing, WorkerKey, WorkerRecord},
-    limit::FleetPosition,
+    limit::{FleetPosition, LOCAL_FRACTION, Placement},
     site::{Departure, HealthReport, LoadReport, Notice, Service, Worker, WorkerState},
     unit::{Map, Name, Set, Span, Time, rendezvous_weight},
 };
 
-/// The fraction of the limit on a worker's health probes that is for the daemons of its own data
-/// centre; the daemons elsewhere share the rest.
-const LOCAL_FRACTION: f64 = 0.6;
-
 /// What a daemon knows of all workers, and its shares of the fleet-wide limits per worker.
 #[derive(Clone, Debug)]
 pub struct WorkerTable {
@@ -121,6 +117,12 @@
     pub fn set_members(&mut self, members: Map<Name, Name>) {
         self.members = members;
         self.members.insert(self.name.clone(), self.centre.clone());
+        let limited = self.records.iter();
+        let limited = limited.filter(|(_, record)| record.rate_limit().is_some());
+        let keys: Vec<WorkerKey> = limited.map(|(key, _)| *key).collect();
+        for key in keys {
+            self.divide_limit(key);
+        }
     }
 
     /// The number of registered daemons, including this one.
@@ -223,9 +225,47 @@
     }
 
     /// Records what a worker asks of its callers in a response, and returns whether that is new.
-    pub fn record_notice(&mut self, key: WorkerKey, source: NoticeSource, notice: Notice) -> bool {
-        let record = self.records.get_mut(&key);
-        record.is_some_and(|record| record.record_notice(source, notice))
+    pub fn record_notice(
+        &mut self,
+        key: WorkerKey,
+        now: Time,
+        source: NoticeSource,
+        notice: Notice,
+    ) -> bool {
+        let Some(record) = self.records.get_mut(&key) else {
+            return false;
+        };
+        let changed = record.record_notice(now, source, notice);
+        if changed {
+            self.divide_limit(key);
+        }
+        changed
+    }
+
+    /// Whether a request may be sent to a worker now: it isn't barred, and this daemon's share of
+    /// the limit that it names isn't used up.
+    pub fn may_send(&self, key: WorkerKey, now: Time) -> bool {
+        let record = self.records.get(&key);
+        let open = record.is_some_and(|record| record.is_open(now));
+        open && self.standing(key, now) != Standing::Barred
+    }
+
+    /// When the first of a service's workers may get a request again. `None` if one may get it now,
+    /// or if no worker will.
+    pub fn next_opening(&self, service: &str, now: Time) -> Option<Time> {
+        let keys = self.services.get(service)?;
+        let mut next: Option<Time> = None;
+        for key in keys {
+            if self.may_send(*key, now) {
+                return None;
+            }
+            let record = self.records.get(key)?;
+            if self.standing(*key, now) != Standing::Barred {
+                let opening = record.next_opening(now);
+                next = Some(next.map_or(opening, |next| next.min(opening)));
+            }
+        }
+        next
     }
 
     /// Records the load that a worker reported with its response to a request.
@@ -258,6 +298,7 @@
         if let Some(record) = self.records.get_mut(&key) {
             record.in_flight += 1;
             record.used = true;
+            record.request_budget.record(now);
             if !permit {
                 record.cold_budget.record(now);
             }
@@ -310,6 +351,38 @@
         }
     }
 
+    /// Sets this daemon's share of the limit that a worker names, if it does.
+    fn divide_limit(&mut self, key: WorkerKey) {
+        let Some(record) = self.records.get(&key) else {
+            return;
+        };
+        let placement = self.placement(&record.worker);
+        if let Some(record) = self.records.get_mut(&key) {
+            record.divide_limit(placement);
+        }
+    }
+
+    /// This daemon's place among those that share a worker's limit.
+    fn placement(&self, worker: &Worker) -> Placement {
+        let is_local = |centre: &Name| *centre == worker.centre;
+        let weight = |name: &Name| rendezvous_weight(&worker.id, name);
+        let own = (weight(&self.name), &self.name);
+        let same_side = |centre: &Name| is_local(centre) == is_local(&self.centre);
+        let before =
+            |(name, centre): &(&Name, &Name)| same_side(centre) && (weight(name), *name) < own;
+        let local = self
+            .members
+            .values()
+            .filter(|centre| is_local(centre))
+            .count();
+        Placement {
+            is_local: is_local(&self.centre),
+            local,
+            rank: self.members.iter().filter(before).count(),
+            remote: self.members.len() - local,
+        }
+    }
+
     /// Drops a worker's record, and its key from the indexes by id and by service.
     fn remove(&mut self, key: WorkerKey) {
         let Some(record) = self.records.remove(&key) else {
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -337,17 +337,17 @@
         unreadable: false,
     };
     let named = |table: &WorkerTable| table.get(key).expect("a worker").rate_limit();
-    assert!(table.record_notice(key, NoticeSource::Response, limit(2.0)));
-    assert!(!table.record_notice(key, NoticeSource::Response, limit(2.0)));
-    assert!(!table.record_notice(key, NoticeSource::Probe, Notice::default()));
+    assert!(table.record_notice(key, at(0), NoticeSource::Response, limit(2.0)));
+    assert!(!table.record_notice(key, at(0), NoticeSource::Response, limit(2.0)));
+    assert!(!table.record_notice(key, at(0), NoticeSource::Probe, Notice::default()));
     assert_eq!(named(&table), Rate::per_second(2.0));
-    assert!(table.record_notice(key, NoticeSource::Probe, limit(1.0)));
-    assert!(table.record_notice(key, NoticeSource::Probe, Notice::default()));
+    assert!(table.record_notice(key, at(0), NoticeSource::Probe, limit(1.0)));
+    assert!(table.record_notice(key, at(0), NoticeSource::Probe, Notice::default()));
     assert_eq!(named(&table), None);
     let unreadable = Notice {
         unreadable: true,
         ..Notice::default()
     };
-    assert!(table.record_notice(key, NoticeSource::Response, unreadable));
-    assert!(!table.record_notice(key, NoticeSource::Response, unreadable));
+    assert!(table.record_notice(key, at(0), NoticeSource::Response, unreadable));
+    assert!(!table.record_notice(key, at(0), NoticeSource::Response, unreadable));
 }
