Workers that say in a response that they leave are left in time

Change: the notice has `leaving`. A daemon that reads it uses the worker only as a last resort, for half of the drain time, and not at all afterwards. It holds for the process run, by id and start time: neither a ready entry nor one that comes back after the record was dropped ends it; a new process run is free of it. A draining entry never prolongs the use of a worker.

--- a/crates/call/src/candidates.rs
+++ b/crates/call/src/candidates.rs
@@ -6,7 +6,7 @@
         call::{Call, Candidate, Probe},
         dispatcher::Dispatcher,
     },
-    pick::{Standing, WorkerKey, WorkerTable},
+    pick::{WorkerKey, WorkerTable},
     site::{HealthReport, LoadReport},
     unit::{Span, Time},
 };
@@ -82,7 +82,7 @@
         health: &HealthReport,
     ) -> Option<Candidate> {
         let call = self.calls.get(&id)?.clone();
-        if self.table.standing(probe.worker, now) == Standing::Barred {
+        if !self.table.may_send(probe.worker, now) {
             return None;
         }
         if let Some(load) = health.load
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -164,9 +164,8 @@
         self.fail_call(now, id, error);
     }
 
-    /// The error of a request that did not run, with a delay until the first worker admits requests
-    /// again, if none does now. Other daemons may still have shares of the workers' limits, so the
-    /// delay is no longer than for a request that was not sent.
+    /// The error of a request that did not run, with a delay until the first worker likely admits
+    /// requests again, if none does now.
     fn await_opening(&mut self, now: Time, id: CallId, error: CallError) -> CallError {
         let (CallError::NotRun(_), Some(call)) = (error, self.calls.get(&id)) else {
             return error;
@@ -174,8 +173,7 @@
         let Some(opening) = self.table.next_opening(&call.service, now) else {
             return error;
         };
-        let longest = call.route.objective.scale(RETRY_AFTER_FRACTION);
-        let delay = opening.since(now).min(longest).max(RETRY_AFTER_REFUSED);
+        let delay = opening.since(now).max(RETRY_AFTER_REFUSED);
         // Callers that are rejected together don't return together.
         CallError::NotRun(delay.scale(1.0 + self.rng.f64() * RETRY_AFTER_JITTER))
     }
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -220,7 +220,8 @@
         source: NoticeSource,
         notice: Notice,
     ) {
-        let changed = self.table.record_notice(worker, now, source, notice);
+        let drain = self.policy.bounds.drain;
+        let changed = self.table.record_notice(worker, now, drain, source, notice);
         if changed {
             self.notice_changes.push(NoticeChange {
                 source,
--- a/crates/call/tests/dispatcher/main.rs
+++ b/crates/call/tests/dispatcher/main.rs
@@ -10,6 +10,7 @@
 mod cold_start;
 mod failures;
 mod harness;
+mod notices;
 mod overload;
 mod random;
 mod selection;
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -100,7 +100,9 @@
         "standing": standing,
         "cold": record.is_cold(now),
         "slowness": record.slowness(now),
+        "leaving": record.said_leaving(),
         "load": load,
+        "quiet_ms": record.quiet_left(now).as_millis(),
         "limit": record.rate_limit().map(Rate::as_per_second),
     })
 }
--- a/crates/daemon/tests/failures/notices.rs
+++ b/crates/daemon/tests/failures/notices.rs
@@ -1,11 +1,16 @@
 //! Workers that ask something of their callers in their responses.
 
 use {
-    crate::support::{default_plan, run_load},
+    crate::support::{
+        default_plan, new_caller, run_count, run_load, start_fleet, state_dump, wait_until,
+    },
     site::Notice,
-    standin::{Execution, Fleet},
-    std::time::{Duration, Instant},
-    unit::Rate,
+    standin::{Execution, Fleet, Outcome},
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
+    unit::{Rate, Span},
 };
 
 /// The time that daemons have to comply with a limit.
@@ -43,3 +48,31 @@
     assert!(most as f64 <= bound, "{most} requests of {bound}");
     assert!(!runs.is_empty());
 }
+
+/// Whether a worker has told a daemon in a response that it leaves.
+fn has_said_leaving(fleet: &Fleet, at: usize, worker: &str) -> bool {
+    let state = state_dump(fleet, at);
+    let workers = state["workers"].as_array().map(Vec::as_slice);
+    let mut workers = workers.unwrap_or_default().iter();
+    workers.any(|entry| entry["id"] == worker && entry["leaving"] == true)
+}
+
+#[test]
+fn a_worker_that_says_it_leaves_gets_no_requests_after_the_drain_time() {
+    let fleet = start_fleet();
+    fleet.workers[0].set_notice(Notice {
+        leaving: true,
+        ..Notice::default()
+    });
+    for at in 0..4 {
+        wait_until("the daemon was told", || {
+            run_load(&fleet, &[at], 200);
+            has_said_leaving(&fleet, at, "w-0")
+        });
+    }
+    // The drain time of the fleet's settings.
+    thread::sleep(Duration::from_secs(2));
+    let before = run_count(&fleet, "w-0");
+    run_load(&fleet, &[0, 1, 2, 3], 1_000);
+    assert_eq!(run_count(&fleet, "w-0"), before);
+}
--- a/crates/limit/src/request_budget.rs
+++ b/crates/limit/src/request_budget.rs
@@ -37,6 +37,8 @@
 /// daemon's share of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Share {
+    /// The mean time between two requests of the fleet.
+    gap: Span,
     /// The requests of this daemon in one window.
     requests: usize,
     /// How long after it was last told of the limit a daemon without a share sends one request.
@@ -93,6 +95,12 @@
         oldest.map_or(now, |at| at + share.window)
     }
 
+    /// When some daemon of the fleet may likely send the next request.
+    pub fn fleet_opening(&self, now: Time) -> Time {
+        let own = self.next_opening(now);
+        self.share.map_or(own, |share| own.min(now + share.gap))
+    }
+
     /// Records a request that is sent.
     pub fn record(&mut self, now: Time) {
         self.sent.add(now);
@@ -107,6 +115,7 @@
         let total = (rate * window.as_secs() * 1e3).round() / 1e3;
         let daemons = placement.local + placement.remote;
         Self {
+            gap: Span::from_secs(1.0 / rate).min(MAX_WINDOW),
             requests: placement.share_of(total.ceil() as usize),
             trial_after: TRIAL_GAP * (daemons + placement.rank) as u64,
             window: window + TRANSIT,
--- a/crates/pick/src/selection.rs
+++ b/crates/pick/src/selection.rs
@@ -44,14 +44,14 @@
 impl WorkerTable {
     /// Selects the next worker for a request. Workers of the own data centre rank first, those that
     /// were just found slow or full later, those that failed recently or leave last; workers of
-    /// equal rank are compared by cost. Workers that are barred, or whose own limit admits no request
-    /// now, are never selected.
+    /// equal rank are compared by cost. Workers that may not get a request now are never
+    /// selected.
     pub fn select(&self, now: Time, criteria: &Criteria<'_>, rng: &mut Rng) -> Option<Selection> {
         let keys = self.services.get(criteria.service)?;
         let explore = rng.u32(..EXPLORE_ONE_IN) == 0;
         let any_usable = keys
             .iter()
-            .any(|key| self.standing(*key, now) == Standing::Usable);
+            .any(|key| self.standing(*key, now) == Standing::Usable && self.may_send(*key, now));
         let mut best: Option<(Selection, (u32, f64))> = None;
         for key in keys.iter().filter(|key| !criteria.excluded.contains(key)) {
             let Some(record) = self.records.get(key) else {
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -20,6 +20,9 @@
 /// How long a worker may still be used, where no other worker is left, after this daemon learned
 /// that it drains.
 const DRAIN_GRACE: Span = Span::millis(300);
+/// The fraction of the drain time for which a worker may still be used, where no other worker is
+/// left, after it said that it leaves; requests that run then must end before it does.
+const SAID_LEAVING_FRACTION: f64 = 0.5;
 /// The weight of one sample in the moving average of a worker's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 /// The time in seconds in which a worker's slowness decays halfway to 1, on a logarithmic scale.
@@ -75,6 +78,10 @@
     pub(crate) probe_budget: ProbeBudget,
     /// The requests that this daemon sends it, within its share of the limit that it names.
     pub(crate) request_budget: RequestBudget,
+    /// Until when it wants nothing from this daemon.
+    quiet_until: Time,
+    /// Whether it has said in a response that it leaves. Nothing that its entry says undoes that.
+    pub(crate) said_leaving: bool,
     /// Whether one of its responses held a value that can't be read.
     unreadable: bool,
     /// Whether its health endpoint last reported it unhealthy.
@@ -108,6 +115,8 @@
             named_limit: NamedLimit::default(),
             probe_budget: ProbeBudget::new(now),
             request_budget: RequestBudget::default(),
+            quiet_until: Time::ZERO,
+            said_leaving: false,
             unreadable: false,
             unhealthy: false,
             slowness: 1.0,
@@ -124,9 +133,9 @@
         self.cold_until = self.cold_until.max(now + worker.cold_remaining);
         self.removed = false;
         match (worker.state, self.leaving_until) {
-            (WorkerState::Draining, None) => self.leaving_until = Some(now + DRAIN_GRACE),
-            (WorkerState::Ready, Some(_)) => self.leaving_until = None,
-            _ => {}
+            (WorkerState::Draining, _) => self.leave_by(now + DRAIN_GRACE),
+            (WorkerState::Ready, Some(_)) if !self.said_leaving => self.leaving_until = None,
+            (WorkerState::Ready, _) => {}
         }
         self.worker = worker;
     }
@@ -180,14 +189,30 @@
         self.named_limit.rate()
     }
 
-    /// Whether the limit that it names, if any, admits a request of this daemon now.
+    /// Lets it be used until `until` at the latest.
+    pub(crate) fn leave_by(&mut self, until: Time) {
+        let sooner = self.leaving_until.map_or(until, |known| known.min(until));
+        self.leaving_until = Some(sooner);
+    }
+
+    /// How much longer it wants nothing from this daemon.
+    pub fn quiet_left(&self, now: Time) -> Span {
+        self.quiet_until.since(now)
+    }
+
+    /// Whether it has said in a response that it leaves.
+    pub fn said_leaving(&self) -> bool {
+        self.said_leaving
+    }
+
+    /// Whether a request of this daemon may reach it now, by what it says of itself.
     pub(crate) fn is_open(&self, now: Time) -> bool {
-        self.next_opening(now) <= now
+        self.quiet_until <= now && self.request_budget.next_opening(now) <= now
     }
 
-    /// When the limit that it names, if any, admits the next request of this daemon.
-    pub(crate) fn next_opening(&self, now: Time) -> Time {
-        self.request_budget.next_opening(now)
+    /// When some daemon may likely send it the next request, by what it says of itself.
+    pub(crate) fn fleet_opening(&self, now: Time) -> Time {
+        self.quiet_until.max(self.request_budget.fleet_opening(now))
     }
 
     /// Sets this daemon's share of the limit that it names, if any.
@@ -258,16 +283,22 @@
     pub(crate) fn record_notice(
         &mut self,
         now: Time,
+        drain: Span,
         source: NoticeSource,
         notice: Notice,
     ) -> bool {
         if notice.rate_limit.is_some() {
             self.request_budget.confirm(now);
         }
+        let begins_to_leave = notice.leaving && !self.said_leaving;
+        if begins_to_leave {
+            self.said_leaving = true;
+            self.leave_by(now + drain.scale(SAID_LEAVING_FRACTION));
+        }
         let first_unreadable = notice.unreadable && !self.unreadable;
         self.unreadable |= notice.unreadable;
         let limit_changed = self.named_limit.record(source, notice.rate_limit);
-        limit_changed || first_unreadable
+        limit_changed || first_unreadable || begins_to_leave || notice.quiet.is_some()
     }
 
     /// Starts a backoff; each one in a row is twice as long as the one before, up to the maximum.
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -5,6 +5,9 @@
     unit::{Map, Name, Set, Span, Time, rendezvous_weight},
 };
 
+/// How long it is remembered that a worker that is gone said that it leaves.
+const LEFT_LIFE: Span = Span::secs(3_600);
+
 /// What a daemon knows of all workers, and its shares of the fleet-wide limits per worker.
 #[derive(Clone, Debug)]
 pub struct WorkerTable {
@@ -17,6 +20,9 @@
     evacuated: Set<Name>,
     /// The current key of each worker id.
     ids: Map<Name, WorkerKey>,
+    /// The process runs of workers that said that they leave and whose records were dropped, by id
+    /// and start time, and when. An older list of workers must not bring them back.
+    left: Map<(Name, u64), Time>,
     /// The registered daemons and their data centres.
     members: Map<Name, Name>,
     /// This daemon's name.
@@ -37,6 +43,7 @@
             cold_from: None,
             evacuated: Set::default(),
             ids: Map::default(),
+            left: Map::default(),
             name,
             next_key: 0,
             services: Map::default(),
@@ -58,7 +65,7 @@
                 }
                 return key;
             }
-            self.remove(key);
+            self.remove(key, now);
         }
         let key = WorkerKey(self.next_key);
         self.next_key += 1;
@@ -66,9 +73,13 @@
         let keys = self.services.entry(worker.service.clone()).or_default();
         keys.push(key);
         let draining = worker.state == WorkerState::Draining;
+        let said_leaving = self
+            .left
+            .contains_key(&(worker.id.clone(), worker.started_ms));
         let mut record = WorkerRecord::new(worker, now);
+        record.said_leaving = said_leaving;
         // When it started to drain isn't known, so it gets no grace period.
-        record.leaving_until = draining.then_some(now);
+        record.leaving_until = (draining || said_leaving).then_some(now);
         self.records.insert(key, record);
         key
     }
@@ -79,9 +90,7 @@
     pub fn mark_removed(&mut self, id: &str, departure: Departure, drain: Span, now: Time) {
         let record = self.ids.get(id).and_then(|key| self.records.get_mut(key));
         if let Some(record) = record {
-            let until = now + departure.grace(drain);
-            let sooner = record.leaving_until.map_or(until, |known| known.min(until));
-            record.leaving_until = Some(sooner);
+            record.leave_by(now + departure.grace(drain));
             record.removed = true;
         }
     }
@@ -100,8 +109,9 @@
             .map(|(key, _)| *key)
             .collect();
         for key in keys {
-            self.remove(key);
+            self.remove(key, now);
         }
+        self.left.retain(|_, at| now.since(*at) < LEFT_LIFE);
     }
 
     /// Marks a data centre as evacuated, or ends its evacuation.
@@ -225,32 +235,34 @@
     }
 
     /// Records what a worker asks of its callers in a response, and returns whether that is new.
+    /// `drain` is the longest time for which a leaving worker may get requests.
     pub fn record_notice(
         &mut self,
         key: WorkerKey,
         now: Time,
+        drain: Span,
         source: NoticeSource,
         notice: Notice,
     ) -> bool {
         let Some(record) = self.records.get_mut(&key) else {
             return false;
         };
-        let changed = record.record_notice(now, source, notice);
+        let changed = record.record_notice(now, drain, source, notice);
         if changed {
             self.divide_limit(key);
         }
         changed
     }
 
-    /// Whether a request may be sent to a worker now: it isn't barred, and this daemon's share of
-    /// the limit that it names isn't used up.
+    /// Whether a request may be sent to a worker now: it isn't barred, it wants requests from this
+    /// daemon, and this daemon's share of the limit that it names isn't used up.
     pub fn may_send(&self, key: WorkerKey, now: Time) -> bool {
         let record = self.records.get(&key);
         let open = record.is_some_and(|record| record.is_open(now));
         open && self.standing(key, now) != Standing::Barred
     }
 
-    /// When the first of a service's workers may get a request again. `None` if one may get it now,
+    /// When the first of a service's workers may likely get a request again from some daemon. `None` if one may get it now,
     /// or if no worker will.
     pub fn next_opening(&self, service: &str, now: Time) -> Option<Time> {
         let keys = self.services.get(service)?;
@@ -261,7 +273,7 @@
             }
             let record = self.records.get(key)?;
             if self.standing(*key, now) != Standing::Barred {
-                let opening = record.next_opening(now);
+                let opening = record.fleet_opening(now);
                 next = Some(next.map_or(opening, |next| next.min(opening)));
             }
         }
@@ -384,10 +396,14 @@
     }
 
     /// Drops a worker's record, and its key from the indexes by id and by service.
-    fn remove(&mut self, key: WorkerKey) {
+    fn remove(&mut self, key: WorkerKey, now: Time) {
         let Some(record) = self.records.remove(&key) else {
             return;
         };
+        if record.said_leaving {
+            let run = (record.worker.id.clone(), record.worker.started_ms);
+            self.left.insert(run, now);
+        }
         if self.ids.get(&record.worker.id) == Some(&key) {
             self.ids.remove(&record.worker.id);
         }
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -334,20 +334,56 @@
     let key = table.upsert(worker("x", "a"), at(0));
     let limit = |rate| Notice {
         rate_limit: Rate::per_second(rate),
-        unreadable: false,
+        ..Notice::default()
     };
     let named = |table: &WorkerTable| table.get(key).expect("a worker").rate_limit();
-    assert!(table.record_notice(key, at(0), NoticeSource::Response, limit(2.0)));
-    assert!(!table.record_notice(key, at(0), NoticeSource::Response, limit(2.0)));
-    assert!(!table.record_notice(key, at(0), NoticeSource::Probe, Notice::default()));
+    assert!(table.record_notice(
+        key,
+        at(0),
+        Span::secs(2),
+        NoticeSource::Response,
+        limit(2.0)
+    ));
+    assert!(!table.record_notice(
+        key,
+        at(0),
+        Span::secs(2),
+        NoticeSource::Response,
+        limit(2.0)
+    ));
+    assert!(!table.record_notice(
+        key,
+        at(0),
+        Span::secs(2),
+        NoticeSource::Probe,
+        Notice::default()
+    ));
     assert_eq!(named(&table), Rate::per_second(2.0));
-    assert!(table.record_notice(key, at(0), NoticeSource::Probe, limit(1.0)));
-    assert!(table.record_notice(key, at(0), NoticeSource::Probe, Notice::default()));
+    assert!(table.record_notice(key, at(0), Span::secs(2), NoticeSource::Probe, limit(1.0)));
+    assert!(table.record_notice(
+        key,
+        at(0),
+        Span::secs(2),
+        NoticeSource::Probe,
+        Notice::default()
+    ));
     assert_eq!(named(&table), None);
     let unreadable = Notice {
         unreadable: true,
         ..Notice::default()
     };
-    assert!(table.record_notice(key, at(0), NoticeSource::Response, unreadable));
-    assert!(!table.record_notice(key, at(0), NoticeSource::Response, unreadable));
+    assert!(table.record_notice(
+        key,
+        at(0),
+        Span::secs(2),
+        NoticeSource::Response,
+        unreadable
+    ));
+    assert!(!table.record_notice(
+        key,
+        at(0),
+        Span::secs(2),
+        NoticeSource::Response,
+        unreadable
+    ));
 }
--- a/crates/standin/src/execution_log.rs
+++ b/crates/standin/src/execution_log.rs
@@ -1,6 +1,7 @@
-//! A record of the requests that workers run.
+//! A record of the requests that reach workers, and of those that they run.
 
 use {
+    site::Notice,
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -9,6 +10,28 @@
     unit::Name,
 };
 
+/// A request that reached a worker, whether or not it ran.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When the worker had read it.
+    pub at: Instant,
+    /// The worker's response, if it sent one.
+    pub response: Option<Answer>,
+    /// The request's id.
+    pub request: String,
+    /// The worker's id.
+    pub worker: Name,
+}
+
+/// A worker's response to a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// When the worker began to send it.
+    pub at: Instant,
+    /// What it asks of the daemon.
+    pub notice: Notice,
+}
+
 /// One execution of a request by a worker, as the worker records it.
 #[derive(Clone, Debug)]
 pub struct Execution {
@@ -25,20 +48,45 @@
     pub worker: Name,
 }
 
-/// A log, shared by all workers, of every execution of a request.
+/// A log, shared by all workers, of every request that reached one and every execution.
 #[derive(Clone, Debug, Default)]
-pub struct ExecutionLog(Arc<Mutex<Vec<Execution>>>);
+pub struct ExecutionLog(Arc<Mutex<Records>>);
+
+#[derive(Debug, Default)]
+struct Records {
+    arrivals: Vec<Arrival>,
+    executions: Vec<Execution>,
+}
 
 impl ExecutionLog {
     /// Returns all executions in the order in which they began.
     pub fn entries(&self) -> Vec<Execution> {
-        self.lock().clone()
+        self.lock().executions.clone()
+    }
+
+    /// Returns all arrivals in the order in which the workers read them.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Adds an arrival and returns its index, which `answer` takes.
+    pub(crate) fn arrive(&self, arrival: Arrival) -> usize {
+        let mut records = self.lock();
+        records.arrivals.push(arrival);
+        records.arrivals.len() - 1
+    }
+
+    /// Records the response to the arrival at an index.
+    pub(crate) fn answer(&self, index: usize, response: Answer) {
+        if let Some(arrival) = self.lock().arrivals.get_mut(index) {
+            arrival.response = Some(response);
+        }
     }
 
     /// Returns the number of executions of each request, by request id.
     pub fn counts(&self) -> HashMap<String, u32> {
         let mut counts = HashMap::new();
-        for execution in self.lock().iter() {
+        for execution in &self.lock().executions {
             *counts.entry(execution.request.clone()).or_default() += 1;
         }
         counts
@@ -46,19 +94,19 @@
 
     /// Adds an execution and returns its index, which `finish` takes.
     pub(crate) fn begin(&self, execution: Execution) -> usize {
-        let mut executions = self.lock();
-        executions.push(execution);
-        executions.len() - 1
+        let mut records = self.lock();
+        records.executions.push(execution);
+        records.executions.len() - 1
     }
 
     /// Marks the execution at an index as finished.
     pub(crate) fn finish(&self, index: usize) {
-        if let Some(execution) = self.lock().get_mut(index) {
+        if let Some(execution) = self.lock().executions.get_mut(index) {
             execution.finished = true;
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<Execution>> {
+    fn lock(&self) -> MutexGuard<'_, Records> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -23,7 +23,7 @@
     caller::{Caller, RequestResult},
     config::{READ_PREFIX, SERVICE, WRITE_PREFIX, config},
     error::StandinError,
-    execution_log::{Execution, ExecutionLog},
+    execution_log::{Answer, Arrival, Execution, ExecutionLog},
     fleet::{Fleet, FleetPlan},
     load_profile::{LoadProfile, Report},
     outcome::Outcome,
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        execution_log::{Execution, ExecutionLog},
+        execution_log::{Answer, Arrival, Execution, ExecutionLog},
         server::{Reply, Server},
     },
     platform::standin::{
@@ -75,6 +75,9 @@
     /// What responses to requests ask of the callers.
     notice: Notice,
     running: u32,
+    /// How long it wants nothing from a daemon whose request it turns away; `None` while it turns
+    /// none away.
+    turning_away: Option<Span>,
     waiting: u32,
 }
 
@@ -135,6 +138,7 @@
                 latency_percent: NORMAL_PERCENT,
                 notice: Notice::default(),
                 running: 0,
+                turning_away: None,
                 waiting: 0,
             }),
             slot_free: Condvar::new(),
@@ -184,6 +188,12 @@
         self.shared.lock().notice = notice;
     }
 
+    /// Has it turn away every request and ask its daemon to send nothing for a span; `None` ends
+    /// that.
+    pub fn turn_away(&self, quiet: Option<Span>) {
+        self.shared.lock().turning_away = quiet;
+    }
+
     /// Makes the worker cold for `duration`.
     pub fn set_cold(&self, duration: Duration) {
         self.shared.lock().cold_end = Some(Instant::now() + duration);
@@ -230,11 +240,24 @@
             return Reply::Response(Response::new(400));
         };
         let end = Instant::now() + Duration::from(head.time_left);
-        if !self.take_slot(end) {
+        let arrival = self.executions.arrive(Arrival {
+            at: Instant::now(),
+            response: None,
+            request: id.clone(),
+            worker: self.id.clone(),
+        });
+        let quiet = self.lock().turning_away;
+        if quiet.is_some() || !self.take_slot(end) {
+            let notice = Notice {
+                quiet,
+                ..self.notice()
+            };
             let mut response = not_run_response();
-            add_notice(&mut response.headers, self.lock().notice);
+            add_notice(&mut response.headers, notice);
+            self.record_answer(arrival, notice);
             return Reply::Response(response);
         }
+
         let execution = self.executions.begin(Execution {
             began: Instant::now(),
             cold: self.is_cold(),
@@ -254,15 +277,34 @@
             WorkResult::TimedOut => {
                 let mut response = Response::new(504);
                 sign_response(&mut response, &id, self.load(&self.lock()));
+                let notice = self.notice();
+                add_notice(&mut response.headers, notice);
+                self.record_answer(arrival, notice);
                 Reply::Response(response)
             }
             WorkResult::Finished => {
                 self.executions.finish(execution);
-                self.reply(request, &id, fault, last_request)
+                let notice = self.notice();
+                self.record_answer(arrival, notice);
+                self.reply(request, &id, fault, last_request, notice)
             }
         }
     }
 
+    /// What its responses to requests that it runs ask of the daemons now.
+    fn notice(&self) -> Notice {
+        self.lock().notice
+    }
+
+    /// Records that the response to a request is about to be sent.
+    fn record_answer(&self, arrival: usize, notice: Notice) {
+        let response = Answer {
+            at: Instant::now(),
+            notice,
+        };
+        self.executions.answer(arrival, response);
+    }
+
     fn health(&self) -> HealthReport {
         let state = self.lock();
         let cold_remaining = state
@@ -345,10 +387,11 @@
         id: &str,
         fault: WorkerFault,
         last_request: Option<String>,
+        notice: Notice,
     ) -> Reply {
-        let (load, body_bytes, notice) = {
+        let (load, body_bytes) = {
             let state = self.lock();
-            (self.load(&state), state.body_bytes, state.notice)
+            (self.load(&state), state.body_bytes)
         };
         let mut response = Response::new(if fault == WorkerFault::Errors {
             500
