Workers that turn a request away and ask for quiet get nothing for so long

Change: the notice has `quiet`, read from responses with status 503, those to health probes included. Until its end the daemon neither probes the worker nor sends it anything: selection leaves it out, and the check before sending holds for connections kept ready, retries, hedges and held requests. Where all workers of a service ask for quiet, callers are rejected at once; they are told to come back at the earliest end, up to half as much later so that they don't all return at once. The worker's own value doesn't reach callers of refused requests: it speaks of one daemon, and others may serve them.

Before (the line that acts on it taken out): four tests of the dispatcher and the one with real daemons fail; without the check before sending, the one of the connection kept ready. After: all pass.

--- a/crates/call/tests/dispatcher/notices.rs
+++ b/crates/call/tests/dispatcher/notices.rs
@@ -120,6 +120,101 @@
     assert!(!is_offered(&mut harness));
 }
 
+#[test]
+fn a_worker_that_asks_for_quiet_gets_no_request_and_no_probe_until_its_end() {
+    let mut harness = Harness::new(&["x", "y"]);
+    let read = Arc::new(route("r", RouteKind::Idempotent));
+    let link = harness.start_attempt(&read);
+    let asked = harness.workers[&link];
+    let notice = quiet(Span::secs(3));
+    respond(&mut harness, link, AttemptEnding::NotRun, notice);
+    harness.actions.clear();
+    let mut offers = 0;
+    for _ in 0..290 {
+        harness.arrive(&read);
+        let actions = harness.advance_answering(Span::millis(10), &idle_health());
+        for action in actions {
+            if let CallAction::Send(_, link, _) = action {
+                offers += usize::from(harness.workers.get(&link) == Some(&asked));
+                harness.end_attempt(link, AttemptEnding::Served);
+            }
+        }
+    }
+    assert_eq!(offers, 0);
+    let probed = harness.workers.values().filter(|key| **key == asked);
+    assert_eq!(probed.count(), 1);
+    harness.advance(Span::millis(200));
+    let now = harness.now;
+    assert!(harness.dispatcher.table.may_send(asked, now));
+}
+
+#[test]
+fn quiet_in_the_response_to_a_probe_counts() {
+    let mut harness = Harness::new(&["x"]);
+    harness.arrive(&Arc::new(route("r", RouteKind::Idempotent)));
+    let link = harness.next_probe();
+    let health = HealthReport {
+        healthy: false,
+        notice: quiet(Span::secs(2)),
+        ..idle_health()
+    };
+    harness.answer_probe(link, health);
+    let sent = |action: &CallAction| matches!(action, CallAction::Send(..));
+    assert!(!harness.actions.iter().any(sent));
+    harness.actions.clear();
+    assert!(!is_offered(&mut harness));
+}
+
+#[test]
+fn a_caller_is_rejected_at_once_while_all_workers_ask_for_quiet() {
+    let mut harness = Harness::new(&["x", "y"]);
+    let read = Arc::new(route("r", RouteKind::Idempotent));
+    for span in [Span::secs(5), Span::secs(2)] {
+        harness.advance(Span::millis(10));
+        let link = harness.start_attempt(&read);
+        respond(&mut harness, link, AttemptEnding::NotRun, quiet(span));
+        harness
+            .actions
+            .retain(|action| matches!(action, CallAction::Probe { .. }));
+        while !harness.actions.is_empty() {
+            let probe = harness.next_probe();
+            harness.fail_probe(probe);
+            harness
+                .actions
+                .retain(|action| matches!(action, CallAction::Probe { .. }));
+        }
+    }
+    harness.arrive(&read);
+    let CallError::NotRun(delay) = harness.next_error() else {
+        panic!("expected a rejection");
+    };
+    assert!(delay >= Span::millis(1_900), "{delay:?}: the earliest end");
+    assert!(delay <= Span::millis(3_100), "{delay:?}");
+}
+
+#[test]
+fn a_connection_kept_ready_is_not_used_after_the_worker_asked_for_quiet() {
+    let mut policy = Policy::new(bounds());
+    policy.bounds.probe_rate = 0.0;
+    let mut harness = Harness::with_policy(&["x"], policy);
+    let read = Arc::new(route("r", RouteKind::Idempotent));
+    let link = harness.start_attempt(&read);
+    harness.arrive(&read);
+    let CallAction::Connect { link: second, .. } = harness.next_action() else {
+        panic!("expected a connection without a probe");
+    };
+    respond(
+        &mut harness,
+        link,
+        AttemptEnding::NotRun,
+        quiet(Span::secs(1)),
+    );
+    harness.actions.clear();
+    harness.handle(CallEvent::ConnectEnded(second, Ok(())));
+    let sent = |action: &CallAction| matches!(action, CallAction::Send(..));
+    assert!(!harness.actions.iter().any(sent));
+}
+
 #[test]
 fn a_worker_that_takes_nothing_now_gets_one_request_in_a_long_time() {
     let mut harness = Harness::new(&["x"]);
--- a/crates/daemon/tests/failures/notices.rs
+++ b/crates/daemon/tests/failures/notices.rs
@@ -76,3 +76,27 @@
     run_load(&fleet, &[0, 1, 2, 3], 1_000);
     assert_eq!(run_count(&fleet, "w-0"), before);
 }
+
+#[test]
+fn a_worker_that_turns_a_request_away_gets_nothing_for_as_long_as_it_asks() {
+    let mut plan = default_plan();
+    plan.daemon_centres = vec!["a"];
+    plan.worker_centres = vec!["a"];
+    let fleet = Fleet::start(&plan).expect("a fleet");
+    fleet.workers[0].turn_away(Some(Span::secs(4)));
+    let mut caller = new_caller("c");
+    let first = fleet.send(&mut caller, 0, "POST", "/payouts/1");
+    assert_eq!(first.outcome, Outcome::NotRun);
+    let arrived = fleet.executions.arrivals().len();
+    for _ in 0..20 {
+        let result = fleet.send(&mut caller, 0, "GET", "/pictures/1");
+        assert_eq!(result.outcome, Outcome::NotRun);
+        assert!(result.elapsed < Duration::from_secs(1), "{result:?}");
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(fleet.executions.arrivals().len(), arrived);
+    fleet.workers[0].turn_away(None);
+    thread::sleep(Duration::from_secs(3));
+    let last = fleet.send(&mut caller, 0, "GET", "/pictures/1");
+    assert_eq!(last.outcome, Outcome::Served);
+}
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -290,6 +290,9 @@
         if notice.rate_limit.is_some() {
             self.request_budget.confirm(now);
         }
+        if let Some(quiet) = notice.quiet {
+            self.quiet_until = self.quiet_until.max(now + quiet);
+        }
         let begins_to_leave = notice.leaving && !self.said_leaving;
         if begins_to_leave {
             self.said_leaving = true;
