Soak: workers that say they leave, ask for quiet or name a limit

The judges compute the three rules from what callers and workers recorded: the daemon of each arrival is found by the caller's request id, and a daemon counts as told when its caller got that worker's response to a request that reached no other.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -13,15 +13,24 @@
 
 /// Runs a soak with five daemons and asserts that it broke no invariant.
 fn soak(seed: u64, seconds: u64) {
-    run(seed, seconds, false, false);
+    run(seed, seconds, Extras::default());
 }
 
-fn run(seed: u64, seconds: u64, restores: bool, downloads: bool) {
+/// The faults of a soak beyond the usual ones.
+#[derive(Default)]
+struct Extras {
+    downloads: bool,
+    notices: bool,
+    restores: bool,
+}
+
+fn run(seed: u64, seconds: u64, extras: Extras) {
     let soak = Soak {
         daemons: 5,
-        downloads,
+        downloads: extras.downloads,
+        notices: extras.notices,
         program: Path::new(env!("CARGO_BIN_EXE_anvilferryd")).to_owned(),
-        restores,
+        restores: extras.restores,
         seed,
         duration: Duration::from_secs(seconds),
     };
@@ -48,22 +57,52 @@
 
 #[test]
 fn a_short_soak_with_restores_of_the_store_passes() {
-    run(20_261_205, 6, true, false);
+    run(
+        20_261_205,
+        6,
+        Extras {
+            restores: true,
+            ..Extras::default()
+        },
+    );
 }
 
 #[test]
 fn a_short_soak_with_large_responses_that_are_cut_short_passes() {
-    run(20_261_206, 6, false, true);
+    run(
+        20_261_206,
+        6,
+        Extras {
+            downloads: true,
+            ..Extras::default()
+        },
+    );
 }
 
 /// Guards against a cancelled call to the store whose connection has been freed: its number was then
 /// used for a caller's connection, which was closed, and callers got no response.
 #[test]
 fn restores_of_the_store_close_no_connection_of_a_caller() {
-    run(7_003, 12, true, false);
+    run(
+        7_003,
+        12,
+        Extras {
+            restores: true,
+            ..Extras::default()
+        },
+    );
 }
 
 #[test]
 fn another_short_soak_passes() {
     soak(41, 6);
 }
+
+#[test]
+fn a_short_soak_with_workers_that_leave_ask_for_quiet_or_name_limits_passes() {
+    let extras = Extras {
+        notices: true,
+        ..Extras::default()
+    };
+    run(20_261_207, 12, extras);
+}
--- a/crates/standin/src/bin/soak.rs
+++ b/crates/standin/src/bin/soak.rs
@@ -18,6 +18,10 @@
     #[arg(long)]
     downloads: bool,
 
+    /// Have workers say now and then that they leave, ask for quiet or name a limit.
+    #[arg(long)]
+    notices: bool,
+
     /// The path of the daemon's program.
     #[arg(long, default_value = "target/release/anvilferryd")]
     program: PathBuf,
@@ -50,6 +54,7 @@
         let soak = Soak {
             daemons: arguments.daemons,
             downloads: arguments.downloads,
+            notices: arguments.notices,
             program: arguments.program.clone(),
             restores: arguments.restores,
             seed,
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -33,6 +33,12 @@
     Worker(usize, WorkerFault),
     /// Makes a worker cold.
     WorkerCold(usize),
+    /// Has a worker name a limit, in requests per second, in its responses.
+    WorkerLimits(usize, u32),
+    /// Has a worker say that it leaves and starts another in its place; its entry stays as it is.
+    WorkerSaysLeaving(usize),
+    /// Has a worker turn all requests away and ask for quiet until the fault ends.
+    WorkerTurnsAway(usize),
     /// Makes a worker send large responses without their last byte.
     WorkerCutsDownloads(usize),
     /// Kills a worker and starts another in its place.
@@ -71,6 +77,16 @@
         }
     }
 
+    /// Draws a random wish of a worker.
+    pub(crate) fn draw_notice(rng: &mut Rng) -> Self {
+        let index = rng.usize(..1_000);
+        match rng.u32(..3) {
+            0 => Self::WorkerLimits(index, rng.u32(1..8)),
+            1 => Self::WorkerSaysLeaving(index),
+            _ => Self::WorkerTurnsAway(index),
+        }
+    }
+
     /// Returns whether the fault may delay the propagation of the store's changes to daemons, so
     /// that the bounds on the propagation time are suspended.
     pub(crate) const fn delays_propagation(self) -> bool {
--- a/crates/standin/src/soak/injection.rs
+++ b/crates/standin/src/soak/injection.rs
@@ -14,11 +14,12 @@
         upstream::{Upstream, WorkerFault},
     },
     nix::sys::signal::Signal,
+    site::Notice,
     std::{
         thread,
         time::{Duration, Instant},
     },
-    unit::Name,
+    unit::{Name, Rate},
 };
 
 /// Timeout for a daemon to exit after SIGTERM, counted from the end of the fault.
@@ -31,6 +32,15 @@
 /// How soon operators and workers write again what the store has lost.
 const WRITING_DELAY: Duration = Duration::from_millis(1_500);
 
+/// How a worker ends.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    Dies,
+    Drains,
+    /// It says so in its responses only.
+    SaysLeaving,
+}
+
 impl Runner {
     /// Injects a fault that lasts for `length`. Does nothing if the fault needs a running daemon
     /// and another fault disturbs that daemon's process.
@@ -72,8 +82,16 @@
                 self.worker(index).set_body_bytes(DOWNLOAD_BYTES);
                 self.worker(index).set_fault(WorkerFault::Truncates);
             }
-            Fault::WorkerDies(index) => self.replace_worker(index, false)?,
-            Fault::WorkerDrains(index) => self.replace_worker(index, true)?,
+            Fault::WorkerDies(index) => self.replace_worker(index, Ending::Dies)?,
+            Fault::WorkerDrains(index) => self.replace_worker(index, Ending::Drains)?,
+            Fault::WorkerLimits(index, limit) => {
+                self.worker(index).set_notice(Notice {
+                    rate_limit: Rate::per_second(f64::from(limit)),
+                    ..Notice::default()
+                });
+            }
+            Fault::WorkerSaysLeaving(index) => self.replace_worker(index, Ending::SaysLeaving)?,
+            Fault::WorkerTurnsAway(index) => self.worker(index).turn_away(Some(length.into())),
             Fault::WorkerProxy(index, fault) => {
                 if let Some(proxy) = self.fleet.worker_proxies.get(&self.worker(index).entry.id) {
                     proxy.set_fault(fault);
@@ -115,10 +133,18 @@
             Fault::Term(index) => {
                 self.fleet.wait_stopped(index % size, STOP_TIMEOUT)?;
                 self.fleet.launch(index % size)?;
+                self.history.stopped.push(interval(active, index % size));
             }
-            Fault::Worker(..) | Fault::WorkerProxy(..) | Fault::WorkerSlow(_) => {
+            Fault::Worker(..) | Fault::WorkerSlow(_) | Fault::WorkerTurnsAway(_) => {
                 self.clear_worker_faults(active.worker.as_ref());
             }
+            Fault::WorkerLimits(_, limit) => self.end_limit(active, limit),
+            Fault::WorkerProxy(..) => {
+                self.clear_worker_faults(active.worker.as_ref());
+                if let Some(worker) = &active.worker {
+                    self.history.cut.push(interval(active, worker.clone()));
+                }
+            }
             Fault::WorkerCutsDownloads(_) => {
                 self.clear_worker_faults(active.worker.as_ref());
                 if let Some(worker) = &active.worker {
@@ -132,7 +158,8 @@
             | Fault::DropResponses
             | Fault::Reload(_)
             | Fault::WorkerCold(_)
-            | Fault::WorkerDies(_) => {}
+            | Fault::WorkerDies(_)
+            | Fault::WorkerSaysLeaving(_) => {}
         }
         if active.fault.delays_propagation() {
             self.history.suspensions.push(interval(active, ()));
@@ -166,8 +193,10 @@
             Fault::Worker(index, _)
             | Fault::WorkerCutsDownloads(index)
             | Fault::WorkerDrains(index)
+            | Fault::WorkerLimits(index, _)
             | Fault::WorkerProxy(index, _)
-            | Fault::WorkerSlow(index) => Some(self.worker(index).entry.id.clone()),
+            | Fault::WorkerSlow(index)
+            | Fault::WorkerTurnsAway(index) => Some(self.worker(index).entry.id.clone()),
             _ => None,
         }
     }
@@ -189,15 +218,29 @@
             worker.set_fault(WorkerFault::None);
             worker.set_body_bytes(0);
             worker.set_latency_percent(100);
+            worker.turn_away(None);
         }
         if let Some(proxy) = id.and_then(|id| self.fleet.worker_proxies.get(id)) {
             proxy.set_fault(ProxyFault::None);
         }
     }
 
-    /// Starts a new worker in place of one that dies or drains. A draining worker runs on until the
-    /// end of the soak, so that requests sent to it too late are recorded.
-    fn replace_worker(&mut self, index: usize, drains: bool) -> Result<(), StandinError> {
+    /// Ends the limit that a worker names, if it still exists.
+    fn end_limit(&mut self, active: &ActiveFault, limit: u32) {
+        let matches_id = |worker: &&Upstream| Some(&worker.entry.id) == active.worker.as_ref();
+        let Some(worker) = self.fleet.workers.iter().find(matches_id) else {
+            return;
+        };
+        worker.set_notice(Notice::default());
+        if let Some(rate) = Rate::per_second(f64::from(limit)) {
+            let subject = (worker.entry.id.clone(), rate);
+            self.history.limits.push(interval(active, subject));
+        }
+    }
+
+    /// Starts a new worker in place of one that ends. One that leaves runs on until the end of the
+    /// soak, so that requests sent to it too late are recorded.
+    fn replace_worker(&mut self, index: usize, ending: Ending) -> Result<(), StandinError> {
         let index = index % self.fleet.workers.len();
         let id = format!("w-{}", self.next_worker);
         self.next_worker += 1;
@@ -206,15 +249,22 @@
         self.centres.insert(id.as_str().into(), centre);
         let old = &self.fleet.workers[index];
         let old_id = old.entry.id.clone();
-        if drains {
-            self.fleet.store.put_worker(&old.draining_entry());
-            self.history.draining.push((old_id, Instant::now()));
-            // The worker stays in the list, where further faults may affect it.
-            return Ok(());
+        // A worker that leaves stays in the list, where further faults may affect it.
+        match ending {
+            Ending::Drains => {
+                self.fleet.store.put_worker(&old.draining_entry());
+                self.history.draining.push((old_id, Instant::now()));
+            }
+            Ending::SaysLeaving => old.set_notice(Notice {
+                leaving: true,
+                ..Notice::default()
+            }),
+            Ending::Dies => {
+                self.fleet.store.remove_worker(&old_id);
+                self.fleet.worker_proxies.remove(&old_id);
+                self.fleet.workers.remove(index);
+            }
         }
-        self.fleet.store.remove_worker(&old_id);
-        self.fleet.worker_proxies.remove(&old_id);
-        self.fleet.workers.remove(index);
         Ok(())
     }
 }
--- a/crates/standin/src/soak/report.rs
+++ b/crates/standin/src/soak/report.rs
@@ -2,14 +2,17 @@
 
 use {
     crate::{
-        config::config, execution_log::Execution, outcome::Outcome, soak::callers::TimedResult,
+        config::config,
+        execution_log::{Execution, ExecutionLog},
+        outcome::Outcome,
+        soak::{callers::TimedResult, notices::ignored_notices},
     },
     std::{
         collections::{HashMap, HashSet},
         fmt::{self, Display, Formatter},
         time::{Duration, Instant},
     },
-    unit::Name,
+    unit::{Name, Rate},
 };
 
 /// How long `DRAIN_LIMIT` and `EVACUATION_LIMIT`, the bounds on the propagation of the store's
@@ -38,10 +41,16 @@
     pub(crate) cutting: Vec<Interval<Name>>,
     /// Daemons, by index, that were killed or paused.
     pub(crate) disrupted: Vec<Interval<usize>>,
+    /// Workers whose network was disturbed.
+    pub(crate) cut: Vec<Interval<Name>>,
     /// Draining workers, with the time at which the store got their draining entries.
     pub(crate) draining: Vec<(Name, Instant)>,
     /// Evacuated data centres.
     pub(crate) evacuated: Vec<Interval<&'static str>>,
+    /// Workers that named limits.
+    pub(crate) limits: Vec<Interval<(Name, Rate)>>,
+    /// Daemons, by index, that were stopped and started again.
+    pub(crate) stopped: Vec<Interval<usize>>,
     /// Faults that suspend the bounds on propagation.
     pub(crate) suspensions: Vec<Interval<()>>,
 }
@@ -77,11 +86,12 @@
 /// of each worker, `indices` the index of the daemon at each address.
 pub(crate) fn check(
     requests: &[TimedResult],
-    executions: &[Execution],
+    log: &ExecutionLog,
     centres: &HashMap<Name, &'static str>,
     indices: &HashMap<std::net::SocketAddrV4, usize>,
     history: &History,
 ) -> SoakReport {
+    let executions = &log.entries();
     let mut report = SoakReport::default();
     for request in requests {
         *report.outcomes.entry(request.result.outcome).or_default() += 1;
@@ -94,6 +104,9 @@
         .extend(unanswered(requests, executions, indices, history));
     report.violations.extend(cold_overloads(executions));
     report.violations.extend(drained(executions, history));
+    report
+        .violations
+        .extend(ignored_notices(requests, &log.arrivals(), indices, history));
     report
         .violations
         .extend(evacuated(executions, centres, history));
--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -41,10 +41,10 @@
 /// Seeds that are multiples of this number run strict soaks, without faults that delay the
 /// propagation of the store's changes.
 const STRICT_INTERVAL: u64 = 3;
-/// In soaks with restores or downloads, one fault in this many is of that kind.
+/// In soaks with restores, downloads or notices, one fault in this many is of that kind.
 const EXTRA_INTERVAL: u32 = 5;
-/// The minimum duration of an evacuation.
-const MIN_EVACUATION: Duration = Duration::from_secs(7);
+/// The minimum duration of an evacuation, and of a limit that a worker names.
+const MIN_LONG_FAULT: Duration = Duration::from_secs(7);
 /// How often the runner checks whether a fault is due to begin or end.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The number of lines of a daemon's log that an error contains.
@@ -59,6 +59,8 @@
     pub daemons: usize,
     /// Whether workers send large responses and cut them short now and then.
     pub downloads: bool,
+    /// Whether workers say now and then that they leave, ask for quiet or name a limit.
+    pub notices: bool,
     /// The path of the daemon's program.
     pub program: PathBuf,
     /// Whether the store comes back from older copies now and then.
@@ -92,6 +94,8 @@
     strict: bool,
     /// Whether workers send large responses and cut them short now and then.
     downloads: bool,
+    /// Whether workers say now and then that they leave, ask for quiet or name a limit.
+    notices: bool,
     /// Whether the store comes back from older copies now and then.
     restores: bool,
     rng: Rng,
@@ -123,6 +127,7 @@
             next_worker: fleet.workers.len(),
             strict: !self.restores && self.seed.is_multiple_of(STRICT_INTERVAL),
             downloads: self.downloads,
+            notices: self.notices,
             restores: self.restores,
             rng: Rng::with_seed(self.seed),
             version: 1,
@@ -160,10 +165,9 @@
         drop(results);
         let requests: Vec<TimedResult> = requests.iter().collect();
         let indices = (0..size).map(|i| (self.fleet.address(i), i)).collect();
-        let executions = self.fleet.executions.entries();
         let mut report = check(
             &requests,
-            &executions,
+            &self.fleet.executions,
             &self.centres,
             &indices,
             &self.history,
@@ -190,8 +194,8 @@
             if Instant::now() >= next {
                 let fault = self.draw_fault();
                 let mut length = Duration::from_millis(self.rng.u64(200..2_500));
-                if matches!(fault, Fault::Evacuate(_)) {
-                    length += MIN_EVACUATION;
+                if matches!(fault, Fault::Evacuate(_) | Fault::WorkerLimits(..)) {
+                    length += MIN_LONG_FAULT;
                 }
                 faults.push(format!("{:.2} {fault:?}", began.elapsed().as_secs_f64()));
                 self.begin(fault, length)?;
@@ -211,6 +215,9 @@
         if self.downloads && self.rng.u32(..EXTRA_INTERVAL) == 0 {
             return Fault::WorkerCutsDownloads(self.rng.usize(..1_000));
         }
+        if self.notices && self.rng.u32(..EXTRA_INTERVAL) == 0 {
+            return Fault::draw_notice(&mut self.rng);
+        }
         loop {
             let fault = Fault::draw(&mut self.rng);
             let excluded = self.strict && fault.delays_propagation();
