Daemons tell each other of the limits that workers name, and of their ends

Cause: a daemon learned of a limit only from the worker's own response.

Change: the heartbeats of one tick in five name the limits heard of in the last 10 s, at most 16 workers, about nine bytes each, with the age of the worker's word; a receiver adopts what is newer than its own. Messages between daemons change with it. Test: daemons_tell_each_other_of_a_limit_and_of_its_ end, 130 daemons; without the messages it fails.

--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -7,7 +7,7 @@
     },
     fastrand::Rng,
     limit::RetryBudget,
-    pick::{LatencyEstimate, NoticeSource, WorkerKey, WorkerTable},
+    pick::{LatencyEstimate, LimitNews, NoticeSource, WorkerKey, WorkerTable},
     site::{Config, HealthReport, LoadReport, Notice},
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc},
     unit::{Map, Name, Set, Span, Time},
@@ -231,6 +231,22 @@
         }
     }
 
+    /// Adopts what another daemon was told of a worker's limit.
+    pub fn adopt_limit(&mut self, now: Time, news: LimitNews) {
+        if let Some(worker) = self.table.adopt_limit(now, news) {
+            self.notice_changes.push(NoticeChange {
+                source: NoticeSource::Peer,
+                unreadable: false,
+                worker,
+            });
+        }
+    }
+
+    /// What to tell other daemons of the limits that workers name; at most `max` workers.
+    pub fn limit_news(&mut self, now: Time, max: usize) -> Vec<LimitNews> {
+        self.table.limit_news(now, max, &mut self.rng)
+    }
+
     /// Returns a candidate's cold-start permit and connection unused.
     pub(crate) fn discard_candidate(&mut self, candidate: &Candidate) {
         if let Some(permit) = candidate.cold_permit {
--- a/crates/call/tests/dispatcher/cold_start.rs
+++ b/crates/call/tests/dispatcher/cold_start.rs
@@ -21,7 +21,7 @@
     let members: Map<Name, Name> = names
         .map(|name| (name.as_str().into(), "b".into()))
         .collect();
-    harness.dispatcher.table.set_members(members);
+    harness.dispatcher.table.set_members(members.iter());
 }
 
 #[test]
@@ -84,7 +84,7 @@
     let members: Map<Name, Name> = names
         .map(|name| (name.as_str().into(), "b".into()))
         .collect();
-    harness.dispatcher.table.set_members(members);
+    harness.dispatcher.table.set_members(members.iter());
     for _ in 0..10 {
         harness.advance(Span::millis(20));
         harness.arrive(&route);
--- a/crates/call/tests/simulation/limits.rs
+++ b/crates/call/tests/simulation/limits.rs
@@ -8,6 +8,7 @@
         simulation::Simulation,
     },
     call::Policy,
+    site::Notice,
     unit::{Rate, Span, Time},
 };
 
@@ -99,3 +100,15 @@
 fn a_fleet_larger_than_the_limits_of_its_workers_keeps_them() {
     play(&limited(130, 60, vec![rate(2.6); 20], 700.0));
 }
+
+#[test]
+fn daemons_tell_each_other_of_a_limit_and_of_its_end() {
+    const SIZE: usize = 130;
+    let scenario = limited(SIZE, 60, vec![rate(2.6)], 700.0);
+    let mut simulation = Simulation::new(&scenario, Policy::new(bounds()));
+    simulation.run(Span::secs(6));
+    assert_eq!(simulation.count_limited(0), SIZE);
+    simulation.workers[0].notice = Notice::default();
+    simulation.run(Span::secs(10));
+    assert_eq!(simulation.count_limited(0), 0);
+}
--- a/crates/call/tests/simulation/scenario.rs
+++ b/crates/call/tests/simulation/scenario.rs
@@ -11,6 +11,8 @@
     /// The number of data centres. Daemons and workers are assigned to them in turn.
     pub(crate) centres: usize,
     pub(crate) daemons: usize,
+    /// Whether daemons tell each other of the limits that workers name.
+    pub(crate) gossips: bool,
     /// The limits that the first workers name in their responses, in their order.
     pub(crate) rate_limits: Vec<Rate>,
     /// The requests of the callers, by route.
@@ -47,6 +49,7 @@
         Self {
             centres: 4,
             daemons: 13,
+            gossips: true,
             rate_limits: Vec::new(),
             workloads,
             seed: 1,
--- a/crates/call/tests/simulation/sim_daemon.rs
+++ b/crates/call/tests/simulation/sim_daemon.rs
@@ -106,8 +106,10 @@
     pub(crate) fn new(index: usize, scenario: &Scenario, policy: Policy, now: Time) -> Self {
         let name = |index: usize| -> Name { format!("front-{index}").as_str().into() };
         let mut table = WorkerTable::new(name(index), centre(index, scenario));
-        let members = (0..scenario.daemons).map(|index| (name(index), centre(index, scenario)));
-        table.set_members(members.collect());
+        let others = (0..scenario.daemons).filter(|other| *other != index);
+        let others = others.map(|other| (name(other), centre(other, scenario)));
+        let others: Map<Name, Name> = others.collect();
+        table.set_members(others.iter());
         table.allow_cold_from(Some(now));
         let mut keys = Map::default();
         for index in 0..scenario.workers {
--- a/crates/call/tests/simulation/sim_worker.rs
+++ b/crates/call/tests/simulation/sim_worker.rs
@@ -26,7 +26,7 @@
     /// The requests that arrived: when, and from which daemon.
     pub(crate) arrivals: Vec<(Time, usize)>,
     /// What its responses to requests ask of the daemons.
-    notice: Notice,
+    pub(crate) notice: Notice,
     /// The number of health probes received.
     pub(crate) probes: usize,
     running: Vec<Job>,
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -19,6 +19,11 @@
 };
 
 const STEP: Span = Span::millis(1);
+/// The interval, in steps, at which daemons tell each other of the limits that workers name.
+const GOSSIP_STEPS: u64 = 1_000;
+/// How many others a daemon tells each time, and of how many workers at the most.
+const GOSSIP_FANOUT: usize = 6;
+const MAX_LIMITS: usize = 16;
 /// When a simulation begins.
 const START: Span = Span::secs(100);
 /// The interval, in steps, at which it is drawn anew which workers are slow.
@@ -111,6 +116,19 @@
         assert!(self.repeats as f64 <= limit, "{} repeats", self.repeats);
     }
 
+    /// How many daemons know of a limit of the worker with an index.
+    pub(crate) fn count_limited(&self, worker: usize) -> usize {
+        let knows = |daemon: &&SimDaemon| {
+            let mut keys = daemon.keys.iter();
+            let key = keys
+                .find(|(_, index)| **index == worker)
+                .map(|(key, _)| *key);
+            let record = key.and_then(|key| daemon.dispatcher.table.get(key));
+            record.is_some_and(|record| record.rate_limit().is_some())
+        };
+        self.daemons.iter().filter(knows).count()
+    }
+
     /// When the simulation began.
     pub(crate) const fn start() -> Time {
         Time::at(START)
@@ -127,6 +145,13 @@
             }
             step += 1;
             self.now = self.now + STEP;
+            for daemon_index in 0..self.daemons.len() {
+                if self.scenario.gossips
+                    && (step + daemon_index as u64).is_multiple_of(GOSSIP_STEPS)
+                {
+                    self.gossip(daemon_index);
+                }
+            }
             self.start_requests();
             self.run_workers();
             self.deliver();
@@ -136,6 +161,18 @@
         }
     }
 
+    /// Has a daemon tell others what workers told it of their limits.
+    fn gossip(&mut self, daemon_index: usize) {
+        let dispatcher = &mut self.daemons[daemon_index].dispatcher;
+        let news = dispatcher.limit_news(self.now, MAX_LIMITS);
+        for _ in 0..GOSSIP_FANOUT {
+            let other = self.rng.usize(..self.daemons.len());
+            for news in &news {
+                self.daemons[other].dispatcher.adopt_limit(self.now, *news);
+            }
+        }
+    }
+
     fn start_requests(&mut self) {
         for workload in 0..self.scenario.workloads.len() {
             let Workload { rate, retries, .. } = self.scenario.workloads[workload];
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -72,6 +72,8 @@
     pub(crate) metrics: Metrics,
     /// When the next heartbeats to other daemons are due.
     pub(crate) next_heartbeat: Time,
+    /// The ticks of regular heartbeats since the start.
+    pub(crate) ticks: u64,
     /// The number of the next request.
     pub(crate) next_call: u64,
     /// The serial number that was given last.
@@ -156,6 +158,7 @@
             log: Log::start(settings.name.clone()),
             metrics: Metrics::new(),
             next_heartbeat: now,
+            ticks: 0,
             next_call: 0,
             next_serial: 0,
             poll,
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{conn::ConnKind, constants::FETCH_TIMEOUT, daemon::Daemon, log_event},
-    peer::{FetchRequest, FrameCodec, Heartbeat, OwnState, RosterAction, Stage, Watch},
+    peer::{
+        CoarseAge, FetchRequest, FrameCodec, Heartbeat, LimitEntry, OwnState, RosterAction, Stage,
+        Watch,
+    },
+    pick::LimitNews,
     serde_json::json,
     site::{Change, Rev},
     std::{
@@ -16,6 +20,11 @@
 /// The size of the buffer for received datagrams, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
+/// Heartbeats name the limits of at most this many workers.
+const MAX_LIMITS: usize = 16;
+/// The regular heartbeats of one tick in this many name limits, which is once a second.
+const LIMITS_ONE_IN: u64 = 5;
+
 /// A connection on which this daemon fetches site changes from another.
 #[derive(Debug)]
 pub(crate) struct FetchClientConn {
@@ -52,7 +61,8 @@
     pub(crate) fn heartbeat_tick(&mut self, now: Time) {
         self.settle_view(now);
         let own = self.own_state();
-        let actions = self.roster.tick(now, &own);
+        let mut actions = self.roster.tick(now, &own);
+        self.add_limits(now, &mut actions);
         self.run_roster_actions(now, actions);
         self.update_store_role(now);
         self.log_peer_changes(now);
@@ -65,6 +75,39 @@
         self.prune_pools();
     }
 
+    /// Adds what workers told this daemon of their limits to the heartbeats of one tick in
+    /// [`LIMITS_ONE_IN`].
+    fn add_limits(&mut self, now: Time, actions: &mut [RosterAction]) {
+        self.ticks += 1;
+        if !self.ticks.is_multiple_of(LIMITS_ONE_IN) {
+            return;
+        }
+        let news = self.dispatcher.limit_news(now, MAX_LIMITS);
+        let entry = |news: &LimitNews| LimitEntry {
+            age: CoarseAge::new(news.age),
+            rate: news.rate,
+            run: news.run,
+        };
+        for action in actions {
+            if let RosterAction::Send(_, heartbeat) = action {
+                heartbeat.limits = news.iter().map(entry).collect();
+            }
+        }
+    }
+
+    /// Adopts the limits that another daemon was told of.
+    fn adopt_limits(&mut self, now: Time, limits: &[LimitEntry]) {
+        for entry in limits {
+            let news = LimitNews {
+                age: entry.age.span(),
+                rate: entry.rate,
+                run: entry.run,
+            };
+            self.dispatcher.adopt_limit(now, news);
+        }
+        self.log_notice_changes(now);
+    }
+
     /// Carries out the actions of the roster.
     pub(crate) fn run_roster_actions(&mut self, now: Time, actions: Vec<RosterAction>) {
         for action in actions {
@@ -228,6 +271,7 @@
         let own = self.own_state();
         let actions = self.roster.handle_heartbeat(now, &heartbeat, &own);
         self.run_roster_actions(now, actions);
+        self.adopt_limits(now, &heartbeat.limits);
         self.update_table_members();
     }
 
--- a/crates/daemon/src/store_conn.rs
+++ b/crates/daemon/src/store_conn.rs
@@ -286,13 +286,10 @@
         }
     }
 
-    /// Tells the worker table which daemons share the fleet's limits, if their number has changed.
+    /// Tells the worker table which daemons share the fleet's limits.
     pub(crate) fn update_table_members(&mut self) {
         let members = self.roster.members().iter();
-        let centres = members.map(|(name, member)| (name.clone(), member.centre.clone()));
-        let centres: unit::Map<Name, Name> = centres.collect();
-        if centres.len() + 1 != self.dispatcher.table.member_count() {
-            self.dispatcher.table.set_members(centres);
-        }
+        let centres = members.map(|(name, member)| (name, &member.centre));
+        self.dispatcher.table.set_members(centres);
     }
 }
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -124,6 +124,7 @@
             sequence: self.sequence,
             ip: self.ip,
             incarnation: self.incarnation,
+            limits: Vec::new(),
             name: self.name.clone(),
             revs: own.revs,
             gossip: Vec::new(),
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -5,7 +5,7 @@
     serde::{Deserialize, Serialize},
     site::Revs,
     std::net::Ipv4Addr,
-    unit::{Name, Span},
+    unit::{Name, Rate, Span},
 };
 
 /// What the sender of a heartbeat last heard about a third daemon.
@@ -19,6 +19,17 @@
     pub stage: Stage,
 }
 
+/// What the sender of a heartbeat was told of a worker's limit on requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitEntry {
+    /// The time since the worker said so.
+    pub age: CoarseAge,
+    /// The limit, or `None` if the worker names none any more.
+    pub rate: Option<Rate>,
+    /// The hash of the worker's process run.
+    pub run: u32,
+}
+
 /// Name and address of a daemon that the receiver may not know.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
@@ -47,6 +58,8 @@
     /// A random number that the sender draws at its start; it tells a restarted daemon from the
     /// earlier process run.
     pub incarnation: u32,
+    /// Limits that workers name; not all of them, and only in some heartbeats.
+    pub limits: Vec<LimitEntry>,
     /// The sender's name.
     pub name: Name,
     /// The revisions up to which the sender knows the site.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -20,7 +20,7 @@
     codec::{decode, encode},
     error::PeerError,
     fetch::{FetchRequest, FrameCodec},
-    heartbeat::{Contact, GossipEntry, Heartbeat},
+    heartbeat::{Contact, GossipEntry, Heartbeat, LimitEntry},
     member::Member,
     roster::{HEARTBEAT_PERIOD, OwnState, Roster, RosterAction},
     stage::{Stage, Watch},
--- a/crates/peer/tests/fleet/messages.rs
+++ b/crates/peer/tests/fleet/messages.rs
@@ -3,11 +3,12 @@
 use {
     crate::harness::{ip, name},
     peer::{
-        CoarseAge, FetchRequest, FrameCodec, GossipEntry, Heartbeat, Stage, Watch, decode, encode,
+        CoarseAge, FetchRequest, FrameCodec, GossipEntry, Heartbeat, LimitEntry, Stage, Watch,
+        decode, encode,
     },
     quickcheck::quickcheck,
     site::Revs,
-    unit::Span,
+    unit::{Rate, Span},
 };
 
 quickcheck! {
@@ -36,6 +37,11 @@
             sequence,
             ip: ip(1),
             incarnation,
+            limits: vec![LimitEntry {
+                age: CoarseAge::new(Span::millis(u64::from(sequence))),
+                rate: Rate::per_second(f64::from(sequence) / 10.0),
+                run: incarnation,
+            }],
             name: name(1),
             revs: Revs::default(),
             gossip: entries
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -14,7 +14,7 @@
     attempt_outcome::AttemptOutcome,
     latency_estimate::LatencyEstimate,
     median_estimate::MedianEstimate,
-    named_limit::NoticeSource,
+    named_limit::{LimitNews, NoticeSource},
     selection::{Criteria, Selection},
     worker_key::WorkerKey,
     worker_record::{Standing, WorkerRecord},
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
-        LatencyEstimate, NoticeSource, latency_estimate::SLOW_PERCENT, named_limit::NamedLimit,
+        LatencyEstimate, LimitNews, NoticeSource, latency_estimate::SLOW_PERCENT,
+        named_limit::NamedLimit,
     },
     limit::{ColdStartBudget, Placement, ProbeBudget, RequestBudget},
     site::{HealthReport, LoadReport, Notice, Worker, WorkerState},
@@ -82,6 +83,8 @@
     quiet_until: Time,
     /// Whether it has said in a response that it leaves. Nothing that its entry says undoes that.
     pub(crate) said_leaving: bool,
+    /// The hash of its process run, by which daemons tell each other of it.
+    pub(crate) run_hash: u32,
     /// Whether one of its responses held a value that can't be read.
     unreadable: bool,
     /// Whether its health endpoint last reported it unhealthy.
@@ -117,6 +120,7 @@
             request_budget: RequestBudget::default(),
             quiet_until: Time::ZERO,
             said_leaving: false,
+            run_hash: LimitNews::run_hash(&worker.id, worker.started_ms),
             unreadable: false,
             unhealthy: false,
             slowness: 1.0,
@@ -189,6 +193,33 @@
         self.named_limit.rate()
     }
 
+    /// Adopts what another daemon was told of its limit, if that is newer, and returns whether it
+    /// changes the limit.
+    pub(crate) fn adopt_limit(&mut self, now: Time, news: LimitNews) -> bool {
+        let changed = self
+            .named_limit
+            .adopt(now.saturating_sub(news.age), news.rate);
+        self.confirm_limit();
+        changed
+    }
+
+    /// What to tell other daemons of its limit; `None` if that isn't younger than `max_age`.
+    pub(crate) fn limit_news(&self, now: Time, max_age: Span) -> Option<LimitNews> {
+        let age = now.since(self.named_limit.said_at()?);
+        (age < max_age).then(|| LimitNews {
+            age,
+            rate: self.named_limit.rate(),
+            run: self.run_hash,
+        })
+    }
+
+    /// Notes in the budget when it last named its limit.
+    fn confirm_limit(&mut self) {
+        if let Some(said_at) = self.named_limit.said_at() {
+            self.request_budget.confirm(said_at);
+        }
+    }
+
     /// Lets it be used until `until` at the latest.
     pub(crate) fn leave_by(&mut self, until: Time) {
         let sooner = self.leaving_until.map_or(until, |known| known.min(until));
@@ -287,9 +318,6 @@
         source: NoticeSource,
         notice: Notice,
     ) -> bool {
-        if notice.rate_limit.is_some() {
-            self.request_budget.confirm(now);
-        }
         if let Some(quiet) = notice.quiet {
             self.quiet_until = self.quiet_until.max(now + quiet);
         }
@@ -300,7 +328,8 @@
         }
         let first_unreadable = notice.unreadable && !self.unreadable;
         self.unreadable |= notice.unreadable;
-        let limit_changed = self.named_limit.record(source, notice.rate_limit);
+        let limit_changed = self.named_limit.record(now, source, notice.rate_limit);
+        self.confirm_limit();
         limit_changed || first_unreadable || begins_to_leave || notice.quiet.is_some()
     }
 
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -1,10 +1,13 @@
 use {
-    crate::{AttemptOutcome, NoticeSource, Standing, WorkerKey, WorkerRecord},
+    crate::{AttemptOutcome, LimitNews, NoticeSource, Standing, WorkerKey, WorkerRecord},
+    fastrand::Rng,
     limit::{FleetPosition, LOCAL_FRACTION, Placement},
     site::{Departure, HealthReport, LoadReport, Notice, Service, Worker, WorkerState},
     unit::{Map, Name, Set, Span, Time, rendezvous_weight},
 };
 
+/// How old what is told to other daemons of a worker's limit may be.
+const NEWS_LIFE: Span = Span::secs(10);
 /// How long it is remembered that a worker that is gone said that it leaves.
 const LEFT_LIFE: Span = Span::secs(3_600);
 
@@ -123,9 +126,17 @@
         }
     }
 
-    /// Replaces the registered daemons, each with its data centre. This daemon always counts.
-    pub fn set_members(&mut self, members: Map<Name, Name>) {
-        self.members = members;
+    /// Replaces the other registered daemons, each with its data centre.
+    pub fn set_members<'a>(
+        &mut self,
+        others: impl ExactSizeIterator<Item = (&'a Name, &'a Name)> + Clone,
+    ) {
+        let known = |(name, centre): (&Name, &Name)| self.members.get(name) == Some(centre);
+        if others.len() + 1 == self.members.len() && others.clone().all(known) {
+            return;
+        }
+        let others = others.map(|(name, centre)| (name.clone(), centre.clone()));
+        self.members = others.collect();
         self.members.insert(self.name.clone(), self.centre.clone());
         let limited = self.records.iter();
         let limited = limited.filter(|(_, record)| record.rate_limit().is_some());
@@ -254,6 +265,29 @@
         changed
     }
 
+    /// What to tell other daemons of the limits that workers name: at most `max` workers, at random.
+    pub fn limit_news(&self, now: Time, max: usize, rng: &mut Rng) -> Vec<LimitNews> {
+        let records = self.records.values();
+        let news = records.filter_map(|record| record.limit_news(now, NEWS_LIFE));
+        let mut news: Vec<LimitNews> = news.collect();
+        rng.shuffle(&mut news);
+        news.truncate(max);
+        news
+    }
+
+    /// Adopts what another daemon was told of a worker's limit, if that is newer. Returns the worker
+    /// if its limit changes.
+    pub fn adopt_limit(&mut self, now: Time, news: LimitNews) -> Option<WorkerKey> {
+        let mut records = self.records.iter_mut();
+        let (key, record) = records.find(|(_, record)| record.run_hash == news.run)?;
+        let key = *key;
+        if !record.adopt_limit(now, news) {
+            return None;
+        }
+        self.divide_limit(key);
+        Some(key)
+    }
+
     /// Whether a request may be sent to a worker now: it isn't barred, it wants requests from this
     /// daemon, and this daemon's share of the limit that it names isn't used up.
     pub fn may_send(&self, key: WorkerKey, now: Time) -> bool {
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -254,7 +254,7 @@
     let mut taken = 0;
     for (name, centre) in &members {
         let mut table = WorkerTable::new(name.clone(), centre.clone());
-        table.set_members(members.clone());
+        table.set_members(members.iter());
         let key = table.upsert(worker("x", "a"), at(0));
         taken += (0..10_000)
             .filter(|millis| table.take_probe_permit(key, at(*millis), 60.0))
@@ -387,3 +387,51 @@
         unreadable
     ));
 }
+
+/// The requests that a table of the daemon `front-a-1` may send at once to a worker that names a
+/// limit, where `others` are in the worker's data centre too.
+fn share_among(table: &mut WorkerTable, others: &[&str]) -> usize {
+    let others: Vec<(Name, Name)> = others
+        .iter()
+        .map(|name| ((*name).into(), "a".into()))
+        .collect();
+    table.set_members(others.iter().map(|(name, centre)| (name, centre)));
+    let mut table = table.clone();
+    let key = table.upsert(worker("x", "a"), at(0));
+    let notice = Notice {
+        rate_limit: Rate::per_second(1.0),
+        ..Notice::default()
+    };
+    table.record_notice(key, at(0), Span::secs(2), NoticeSource::Response, notice);
+    let mut count = 0;
+    while table.may_send(key, at(0)) {
+        table.record_sent(key, at(0), false);
+        count += 1;
+    }
+    count
+}
+
+/// Guards against a table that compared the numbers of members only.
+#[test]
+fn a_member_replaced_by_another_changes_the_shares() {
+    let names: Vec<String> = (2..40).map(|number| format!("front-a-{number}")).collect();
+    let shares = names.iter().map(|name| {
+        let mut table = table();
+        let first = share_among(
+            &mut table,
+            &[
+                "front-a-0",
+                "front-b-0",
+                "front-c-0",
+                "front-d-0",
+                "front-e-0",
+            ],
+        );
+        let others = [&**name, "front-b-0", "front-c-0", "front-d-0", "front-e-0"];
+        let replaced = share_among(&mut table, &others);
+        let mut fresh = self::table();
+        assert_eq!(replaced, share_among(&mut fresh, &others), "{name}");
+        first != replaced
+    });
+    assert!(shares.collect::<Vec<_>>().contains(&true));
+}
--- a/crates/unit/src/rate.rs
+++ b/crates/unit/src/rate.rs
@@ -1,5 +1,7 @@
+use serde::{Deserialize, Serialize};
+
 /// A number of events per second, in whole thousandths.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Rate(u64);
 
 impl Rate {
