--- a/crates/call/tests/simulation/limits.rs
+++ b/crates/call/tests/simulation/limits.rs
@@ -1,10 +1,11 @@
-//! Workers that name a limit on the requests that they take from all daemons together.
+//! Workers that name a limit on the requests that they take from all daemons together, or turn
+//! requests away and ask for quiet.
 
 use {
     crate::{
-        scenario::{Scenario, reads, writes},
+        limit_rule::{SETTLING, bound, most_in_window},
+        scenario::{QUIET, Scenario, reads, writes},
         sim_daemon::bounds,
-        sim_worker::SimWorker,
         simulation::Simulation,
     },
     call::Policy,
@@ -12,11 +13,6 @@
     unit::{Rate, Span, Time},
 };
 
-/// The time that the daemons have to comply after a worker first named its limit.
-const SETTLING: Span = Span::secs(3);
-/// How long before a request its daemon must have been told of the limit for the request to count.
-const TOLD_BEFORE: Span = Span::millis(500);
-const WINDOW: Span = Span::secs(4);
 const SPAN: Span = Span::secs(15);
 /// The least fraction of its limit that a worker gets under demand.
 const MIN_USED: f64 = 0.8;
@@ -25,33 +21,6 @@
     Rate::per_second(per_second).expect("a valid rate")
 }
 
-/// The most requests that a worker may get in any window.
-fn bound(limit: Rate) -> f64 {
-    limit.as_per_second() * WINDOW.as_secs() * 1.5 + 5.0
-}
-
-/// The times of the requests that count for a worker's limit.
-fn counted(worker: &SimWorker) -> Vec<Time> {
-    let Some(first_told) = worker.told.values().min().copied() else {
-        return Vec::new();
-    };
-    let counts = |(at, daemon): &&(Time, usize)| {
-        let told = worker.told.get(daemon);
-        *at >= first_told + SETTLING && told.is_some_and(|told| *at >= *told + TOLD_BEFORE)
-    };
-    let arrivals = worker.arrivals.iter().filter(counts);
-    arrivals.map(|(at, _)| *at).collect()
-}
-
-/// The most requests that count in any window.
-fn most_in_window(worker: &SimWorker) -> usize {
-    let times = counted(worker);
-    let until = |start: &Time| times.partition_point(|at| *at < *start + WINDOW);
-    let counts = times.iter().enumerate();
-    let counts = counts.map(|(index, start)| until(start) - index);
-    counts.max().unwrap_or_default()
-}
-
 /// A scenario in which as many workers as there are `limits` name them; `demand` is the number of
 /// requests per second.
 fn limited(daemons: usize, workers: usize, limits: Vec<Rate>, demand: f64) -> Scenario {
@@ -112,3 +81,31 @@
     simulation.run(Span::secs(10));
     assert_eq!(simulation.count_limited(0), 0);
 }
+
+/// The most tries a request where a third of the workers ask for quiet at a light load.
+const MAX_TRIES: f64 = 1.15;
+
+#[test]
+fn callers_are_served_while_a_third_of_the_workers_ask_for_quiet() {
+    let mut scenario = limited(13, 14, Vec::new(), 220.0);
+    scenario.turning_away = 4;
+    let simulation = play(&scenario);
+    let refused: u32 = simulation
+        .reports()
+        .iter()
+        .map(|report| report.refused)
+        .sum();
+    assert_eq!(refused, 0);
+    assert!(simulation.tries() <= MAX_TRIES, "{}", simulation.tries());
+    for worker in &simulation.workers[10..] {
+        for daemon in 0..13 {
+            let arrivals = worker.arrivals.iter().filter(|(_, from)| *from == daemon);
+            let times: Vec<Time> = arrivals.map(|(at, _)| *at).collect();
+            let early = |pair: &&[Time]| {
+                let gap = pair[1].since(pair[0]);
+                gap > Span::millis(500) && gap < QUIET
+            };
+            assert_eq!(times.windows(2).filter(early).count(), 0);
+        }
+    }
+}
--- a/crates/call/tests/simulation/main.rs
+++ b/crates/call/tests/simulation/main.rs
@@ -7,6 +7,7 @@
     reason = "a test fails by panicking"
 )]
 
+mod limit_rule;
 mod limits;
 mod loads;
 mod report;
--- a/crates/call/tests/simulation/scenario.rs
+++ b/crates/call/tests/simulation/scenario.rs
@@ -1,16 +1,23 @@
 //! The fleet and the requests of a simulation.
 
 use {
-    site::RouteKind,
+    site::{Notice, RouteKind},
     unit::{Rate, Span},
 };
 
+/// How long a worker that turns requests away wants nothing from their daemons.
+pub(crate) const QUIET: Span = Span::secs(2);
+
 /// What a simulation consists of.
 #[derive(Clone, Debug)]
 pub(crate) struct Scenario {
     /// The number of data centres. Daemons and workers are assigned to them in turn.
     pub(crate) centres: usize,
     pub(crate) daemons: usize,
+    /// Whether workers say in their responses what they ask of the daemons.
+    pub(crate) tells: bool,
+    /// How many workers, the last ones, turn all requests away and ask for [`QUIET`].
+    pub(crate) turning_away: usize,
     /// Whether daemons tell each other of the limits that workers name.
     pub(crate) gossips: bool,
     /// The limits that the first workers name in their responses, in their order.
@@ -49,6 +56,8 @@
         Self {
             centres: 4,
             daemons: 13,
+            tells: true,
+            turning_away: 0,
             gossips: true,
             rate_limits: Vec::new(),
             workloads,
@@ -60,6 +69,21 @@
         }
     }
 
+    /// What the responses of the worker with an index ask of the daemons.
+    pub(crate) fn notice(&self, index: usize) -> Notice {
+        let turns_away = self.turns_away(index);
+        Notice {
+            quiet: turns_away.then_some(QUIET),
+            rate_limit: self.rate_limits.get(index).copied(),
+            ..Notice::default()
+        }
+    }
+
+    /// Whether the worker with an index turns all requests away.
+    pub(crate) fn turns_away(&self, index: usize) -> bool {
+        index + self.turning_away >= self.workers
+    }
+
     /// How many requests with the mean service time `work` the workers at normal speed can run per
     /// second.
     pub(crate) fn capacity(&self, work: Span) -> f64 {
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -66,10 +66,12 @@
         Self {
             daemons: daemons.collect(),
             workers: (0..scenario.workers)
-                .map(|at| {
-                    let notice = Notice {
-                        rate_limit: scenario.rate_limits.get(at).copied(),
-                        ..Notice::default()
+                .map(|index| {
+                    let said = scenario.notice(index);
+                    let notice = if scenario.tells {
+                        said
+                    } else {
+                        Notice::default()
                     };
                     SimWorker::new(scenario.slots, notice)
                 })
@@ -116,6 +118,16 @@
         assert!(self.repeats as f64 <= limit, "{} repeats", self.repeats);
     }
 
+    pub(crate) fn reports(&self) -> &[Report] {
+        &self.reports
+    }
+
+    /// The mean number of attempts of a request that daemons received.
+    pub(crate) fn tries(&self) -> f64 {
+        let sends: u32 = self.sends.values().sum();
+        f64::from(sends) / self.requests as f64
+    }
+
     /// How many daemons know of a limit of the worker with an index.
     pub(crate) fn count_limited(&self, worker: usize) -> usize {
         let knows = |daemon: &&SimDaemon| {
@@ -246,7 +258,8 @@
 
     /// Lets a request arrive at a worker, which may refuse it.
     fn arrive(&mut self, worker: usize, job: Job) {
-        let refuses = self.rng.f64() < self.scenario.refuse_fraction;
+        let refuses =
+            self.rng.f64() < self.scenario.refuse_fraction || self.scenario.turns_away(worker);
         let worker = &mut self.workers[worker];
         worker.arrivals.push((self.now, job.daemon));
         if refuses || !worker.arrive(job) {
