--- a/crates/daemon/tests/failures/notices.rs
+++ b/crates/daemon/tests/failures/notices.rs
@@ -95,6 +95,10 @@
         thread::sleep(Duration::from_millis(100));
     }
     assert_eq!(fleet.executions.arrivals().len(), arrived);
+    let log = fleet.log(0).expect("a log");
+    let notice = |line: &&str| line.contains(r#""event":"worker-notice""#);
+    assert_eq!(log.lines().filter(notice).count(), 1);
+    assert!(!log.contains(r#""event":"passed""#), "no probe is wasted");
     fleet.workers[0].turn_away(None);
     thread::sleep(Duration::from_secs(3));
     let last = fleet.send(&mut caller, 0, "GET", "/pictures/1");
--- a/crates/standin/src/bin/load.rs
+++ b/crates/standin/src/bin/load.rs
@@ -2,11 +2,15 @@
 
 use {
     clap::Parser,
+    site::Notice,
     standin::{Fleet, FleetPlan, LoadProfile, SlowCallers, StandinError},
     std::{path::PathBuf, process::ExitCode, thread, time::Duration},
-    unit::Span,
+    unit::{Rate, Span},
 };
 
+/// How long a worker that turns requests away wants nothing from their daemons.
+const QUIET: Span = Span::secs(2);
+
 /// Puts open-loop load on a fleet of real daemons and reports the results.
 #[derive(Debug, Parser)]
 #[command(name = "load", version)]
@@ -19,6 +23,18 @@
     #[arg(long, default_value_t = 0, value_name = "BYTES")]
     body: usize,
 
+    /// Workers that say in their responses that they leave.
+    #[arg(long, default_value_t = 0, value_name = "COUNT")]
+    leaving: usize,
+
+    /// The limit, in requests per second, that each worker names in its responses.
+    #[arg(long, value_name = "RATE")]
+    limit: Option<f64>,
+
+    /// Workers, the last ones, that turn all requests away and ask for two seconds of quiet.
+    #[arg(long, default_value_t = 0, value_name = "COUNT")]
+    turning_away: usize,
+
     /// Callers on the first daemon that take their responses slowly, beside the load.
     #[arg(long, default_value_t = 0, value_name = "COUNT")]
     slow_callers: usize,
@@ -54,8 +70,16 @@
     let mut plan = FleetPlan::new(&arguments.program);
     plan.work_time = Duration::from_millis(arguments.work);
     let fleet = Fleet::start(&plan)?;
-    for worker in &fleet.workers {
+    for (index, worker) in fleet.workers.iter().enumerate() {
         worker.set_body_bytes(arguments.body);
+        worker.set_notice(Notice {
+            leaving: index < arguments.leaving,
+            rate_limit: arguments.limit.and_then(Rate::per_second),
+            ..Notice::default()
+        });
+        if index + arguments.turning_away >= fleet.workers.len() {
+            worker.turn_away(Some(QUIET));
+        }
     }
     let duration = Duration::from_secs(arguments.seconds);
     let mut slow = SlowCallers::start(
