A refusal that names no request is nobody's: a late copy had writes run twice

Found by reading: a worker's refusal without the request's id was taken for the response to whatever request was in flight. Health probes carry no id, so a late copy of a rejected probe's response, or of any refusal without an id, had the next request on that connection called not run: writes were sent to another worker and ran twice.

Test: a_refusal_that_names_no_request_is_not_taken_for_that_of_the_current_one.

The stand-in workers' refusals have it now.

Ruled out: taking such a refusal on the first response of a connection only (tried): the worker of the test breaks that too.

--- a/crates/daemon/src/worker_responses.rs
+++ b/crates/daemon/src/worker_responses.rs
@@ -107,9 +107,9 @@
             WorkerPhase::Sent { id, link, .. } => {
                 let link = *link;
                 let same_id = head.id.as_deref() == Some(&**id);
-                // A refusal need not carry the request's id. Any other response without an id is
-                // invalid; one with another id is ignored.
-                if same_id || (head.id.is_none() && head.not_run) {
+                // A response without an id is invalid, even a refusal: it may be a late copy of the
+                // one to an earlier request or probe. One with another id is ignored.
+                if same_id {
                     self.attempt_responded(now, conn_key, link, &head, response);
                 } else if head.id.is_none() {
                     self.worker_failed(now, conn_key, AttemptEnding::InvalidResponse);
--- a/crates/daemon/tests/failures/workers.rs
+++ b/crates/daemon/tests/failures/workers.rs
@@ -52,6 +52,17 @@
     run_load(&fleet, &[0, 1, 2, 3], 1_000);
 }
 
+/// Guards against a late copy of a refusal that names no request, such as one of a health probe:
+/// taken for the response to a write, it had the write run again elsewhere.
+#[test]
+fn a_refusal_that_names_no_request_is_not_taken_for_that_of_the_current_one() {
+    let fleet = start_fleet();
+    for worker in &fleet.workers {
+        worker.set_fault(WorkerFault::ExtraRefusal);
+    }
+    run_load(&fleet, &[0, 1, 2, 3], 1_000);
+}
+
 #[test]
 fn a_write_that_may_have_run_is_neither_retried_nor_reported_as_not_run() {
     let fleet = start_fleet();
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -33,6 +33,8 @@
 pub enum WorkerFault {
     /// Runs requests and responds to them with status 500.
     Errors,
+    /// Sends a refusal that names no request ahead of each response, after running the request.
+    ExtraRefusal,
     /// Sends an extra response, with the id of the request that ended before, ahead of each
     /// response.
     ExtraResponse,
@@ -234,7 +236,7 @@
             .expected_worker
             .is_some_and(|expected| *expected != *self.id)
         {
-            return Reply::Response(misdirected_response(&self.id));
+            return Reply::Response(misdirected_response(&self.id, head.id.as_deref()));
         }
         let Some(id) = head.id else {
             return Reply::Response(Response::new(400));
@@ -252,7 +254,7 @@
                 quiet,
                 ..self.notice()
             };
-            let mut response = not_run_response();
+            let mut response = not_run_response(Some(&id));
             add_notice(&mut response.headers, notice);
             self.record_answer(arrival, notice);
             return Reply::Response(response);
@@ -420,6 +422,12 @@
                 response.encode(&mut bytes, false);
                 Reply::RawBytes(bytes)
             }
+            WorkerFault::ExtraRefusal => {
+                let mut bytes = Vec::new();
+                not_run_response(None).encode(&mut bytes, false);
+                response.encode(&mut bytes, false);
+                Reply::RawBytes(bytes)
+            }
             WorkerFault::Hangs => Reply::Hang,
             WorkerFault::Resets => Reply::Close,
             WorkerFault::Truncates => {
