After a pause a request is sent only on what was looked at since

Found by reading: a probe's response, a connection made ready or a candidate from before a pause was used on the first event after it, up to the request's deadline later, though the worker may have filled, turned cold, left or lost its address since.

Tests (dispatcher, module pauses): three, all fail before (each sends 600 ms after the probe) and pass now. Change: an end of a probe that is handled 250 ms after its timeout, and a candidate older than 400 ms, count as outdated; selection starts again. Both bounds are beyond what a busy process needs.

Looked at and found right: quiet, drain and cold times are points in time of a clock that counts suspension; shares stay registered for 600 s of silence, and a daemon that heard nobody for half of that sends nothing to cold workers.

--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -12,6 +12,8 @@
     pub(crate) cold: bool,
     /// The expected time from sending to the response.
     pub(crate) expected: Span,
+    /// When the worker was found to have room.
+    pub(crate) found_at: Time,
     pub(crate) link: LinkId,
     pub(crate) load: Option<LoadReport>,
     /// When a permit to send to a cold worker was taken; `None` if none was needed.
--- a/crates/call/src/candidates.rs
+++ b/crates/call/src/candidates.rs
@@ -99,6 +99,7 @@
         Some(Candidate {
             cold,
             expected: record.expected_latency(now, &estimate),
+            found_at: now,
             link: probe.link,
             load: health.load,
             cold_permit: cold.then_some(now),
--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -24,6 +24,9 @@
 /// A request backs off only while this many times its typical latency still fits into the
 /// latency objective after the backoff.
 const BACKOFF_MARGIN: f64 = 1.4;
+/// How long after a probe's timeout its end may be handled. If it takes longer, this process was
+/// paused, and what the probe found out is outdated.
+const MAX_PROBE_DELAY: Span = Span::millis(250);
 
 impl Dispatcher {
     /// Probes the next worker, or concludes the round if enough workers were probed.
@@ -196,6 +199,12 @@
         let Some((id, probe)) = self.end_probe(link) else {
             return;
         };
+        let result = if is_outdated(now, &probe) {
+            self.close_link(link);
+            Err(ProbeFailure::TimedOut)
+        } else {
+            result
+        };
         if let Err(failure) = result {
             self.links.remove(&link);
             if let Some(permit) = probe.cold_permit {
@@ -217,6 +226,7 @@
         let candidate = Candidate {
             cold: record.is_cold(now),
             expected: record.expected_latency(now, &estimate),
+            found_at: now,
             link,
             load: record.load(now).map(|(load, _)| load),
             cold_permit: probe.cold_permit,
@@ -236,6 +246,11 @@
             return;
         };
         match health {
+            Ok(_) if is_outdated(now, &probe) => {
+                self.release_link(link);
+                self.record_skip(now, id, probe.worker, Some(ProbeFailure::TimedOut), None);
+                self.select_worker(now, id);
+            }
             Ok(health) => self.probe_succeeded(now, id, probe, &health),
             Err(failure) => {
                 self.links.remove(&link);
@@ -290,3 +305,8 @@
         }
     }
 }
+
+/// Whether a probe's end is handled so late that this process was paused meanwhile.
+fn is_outdated(now: Time, probe: &Probe) -> bool {
+    now > probe.deadline + MAX_PROBE_DELAY
+}
--- a/crates/call/src/sending.rs
+++ b/crates/call/src/sending.rs
@@ -12,6 +12,9 @@
 
 /// The least time left before the deadline with which a request is still sent to a worker.
 const MIN_REMAINING: Span = Span::millis(5);
+/// How long a candidate may be kept while other workers are probed. One that is older was found
+/// before a pause of this process.
+const MAX_CANDIDATE_AGE: Span = Span::millis(400);
 /// The delay before worker selection for a hedge is tried again after it found no worker, or the
 /// hedge was not permitted.
 const HEDGE_RETRY_DELAY: Span = Span::millis(50);
@@ -40,14 +43,15 @@
 
     /// Sends the request to a candidate if there is time left and, for a retry or a hedge, a permit
     /// from the retry budget. Otherwise stops the hedge or gives up. Selects another worker if this
-    /// one admits no more requests.
+    /// one admits no more requests, or what is known of it is outdated.
     pub(crate) fn send(&mut self, now: Time, id: CallId, candidate: Candidate) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         call.candidate = None;
         call.probed.clear();
-        if !self.table.may_send(candidate.worker, now) {
+        let outdated = now.since(candidate.found_at) > MAX_CANDIDATE_AGE;
+        if outdated || !self.table.may_send(candidate.worker, now) {
             self.discard_candidate(&candidate);
             self.select_worker(now, id);
             return;
--- a/crates/call/tests/dispatcher/main.rs
+++ b/crates/call/tests/dispatcher/main.rs
@@ -12,5 +12,6 @@
 mod harness;
 mod notices;
 mod overload;
+mod pauses;
 mod random;
 mod selection;
