A stopping daemon answers callers that wait in its listener's queue

Found by reading, then by a test that holds the daemon for 0.8 s around the moment: connections in the queue of the listener were reset with it when it was closed, 3.6 s after the signal, and when the process ended early for lack of callers, 2.5 s after it; callers that had just been accepted were closed as idle before their request was read.

Tests: stops::requests_that_wait_in_the_queue_as_the_listener_closes_are_answered and …_as_the_daemon_ ends_…; before: no response to any of 20 requests each. After: all answered. A third, requests held at the start with SIGTERM twice and SIGHUP while the store hangs, passed before and stays as a guard.

Change: pending connections are accepted before the listener closes and before the process ends; idle ones are closed from the next tick on, when those accepted last were read.

--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -29,6 +29,13 @@
         }
     }
 
+    /// Accepts the pending connections of callers.
+    pub(crate) fn accept_callers(&mut self, now: Time) {
+        if let Some(token) = self.listeners.token(ListenerKind::Callers) {
+            self.accept(now, token);
+        }
+    }
+
     /// Accepts the pending connections of a listener.
     pub(crate) fn accept(&mut self, now: Time, token: Token) {
         loop {
--- a/crates/daemon/src/listeners.rs
+++ b/crates/daemon/src/listeners.rs
@@ -93,6 +93,13 @@
         Some((*kind, listener.as_ref()?))
     }
 
+    /// The token of the first listener of a kind; `None` if there is none or it is closed.
+    pub(crate) fn token(&self, kind: ListenerKind) -> Option<Token> {
+        let mut listeners = self.listeners.iter();
+        let at = listeners.position(|(other, listener)| *other == kind && listener.is_some())?;
+        Some(Token(FIRST_LISTENER_TOKEN + at))
+    }
+
     /// Closes all listeners of a kind.
     pub(crate) fn close(&mut self, kind: ListenerKind) {
         for (other, listener) in &mut self.listeners {
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -59,19 +59,23 @@
         self.close_callers(now, false);
     }
 
-    /// Stops accepting callers and closes their idle connections once [`KEEP_IDLE_FRACTION`] of the
-    /// stop grace period has passed.
+    /// Stops accepting callers once [`KEEP_IDLE_FRACTION`] of the stop grace period has passed, and
+    /// closes their idle connections from the next tick on, when those accepted last were read.
     pub(crate) fn shutdown_tick(&mut self, now: Time) {
         let Some(started) = self.shutdown.started else {
             return;
         };
         let keep_idle = self.settings.bounds.stop_grace.scale(KEEP_IDLE_FRACTION);
-        if now.since(started) >= keep_idle {
-            if !self.shutdown.listener_closed {
+        let closes = now.since(started) >= keep_idle;
+        if self.shutdown.listener_closed {
+            self.close_callers(now, true);
+        } else if closes || self.caller_count == 0 {
+            // Connections that wait in the listener's queue would be reset with it.
+            self.accept_callers(now);
+            if closes {
                 self.shutdown.listener_closed = true;
                 self.stop_accepting();
             }
-            self.close_callers(now, true);
         }
     }
 
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod notices;
 mod restores;
+mod stops;
 mod store;
 mod support;
 mod workers;
