Fuzzing of all decoders; a load report with a huge number made a full worker look free

The sum of running and waiting overflowed: a panic with overflow checks, and without them 0, so that the worker looked free.

--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -1,4 +1,5 @@
 use {
+    crate::FuzzTarget,
     derive_more::{Display, Error, From},
     std::{io, path::PathBuf},
 };
@@ -14,6 +15,17 @@
     #[display("{_0}")]
     #[from(skip)]
     Timeout(#[error(not(source))] String),
+    /// Code under fuzzing panicked.
+    #[display("{target}: case {case} panicked; its input: {input}")]
+    #[from(skip)]
+    Panicked {
+        /// The number of the case.
+        case: u64,
+        /// The input, with escapes.
+        input: String,
+        /// The target.
+        target: FuzzTarget,
+    },
     /// A program could not be started.
     #[display("can't start {}: {source}; build it first, or name another with --program", path.display())]
     #[from(skip)]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,12 +1,13 @@
 //! Stand-ins for what surrounds the daemons (the platform's store, workers and callers), and a
 //! harness that runs real daemon processes on loopback addresses between them. Tests use it, and
-//! the programs `demo`, `load` and `soak`.
+//! the programs `demo`, `fuzz`, `load` and `soak`.
 
 mod caller;
 mod config;
 mod error;
 mod execution_log;
 mod fleet;
+mod fuzz;
 mod load_profile;
 mod outcome;
 mod ports;
@@ -25,6 +26,7 @@
     error::StandinError,
     execution_log::{Answer, Arrival, Execution, ExecutionLog},
     fleet::{Fleet, FleetPlan},
+    fuzz::{FuzzTarget, fuzz},
     load_profile::{LoadProfile, Report},
     outcome::Outcome,
     ports::find_free_ports,
