Callers that wait while no descriptor is free are served once one is

Test: a daemon with 48 descriptors, 60 connections; the last one's request got no answer in 3 s after all others had closed. After: answered.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -55,6 +55,8 @@
     /// All stream connections. A key may be used again once its connection is gone;
     /// [`Conn::serial`] tells the two apart.
     pub(crate) conns: Slab<Conn>,
+    /// The listeners at which accepting failed, such as for lack of descriptors.
+    pub(crate) failed_accepts: Set<Token>,
     /// Decides how requests are sent to workers.
     pub(crate) dispatcher: Dispatcher,
     /// Events for the dispatcher that arose while its actions were performed, oldest first.
@@ -150,6 +152,7 @@
             caller_count: 0,
             config: None,
             conns: Slab::new(),
+            failed_accepts: Set::default(),
             dispatcher: Dispatcher::new(policy, table, fastrand::Rng::new()),
             call_events: VecDeque::new(),
             fetching: false,
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Tries again where accepting failed, since the listener's readiness isn't reported again.
+    pub(crate) fn retry_accept(&mut self, now: Time) {
+        for token in std::mem::take(&mut self.failed_accepts) {
+            self.accept(now, token);
+        }
+    }
+
     /// Accepts the pending connections of a listener.
     pub(crate) fn accept(&mut self, now: Time, token: Token) {
         loop {
@@ -45,10 +52,15 @@
             match listener.accept() {
                 Ok((sock, _)) => self.add_accepted(now, kind, sock),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error)
+                    if matches!(
+                        error.kind(),
+                        ErrorKind::ConnectionAborted | ErrorKind::Interrupted
+                    ) => {}
                 Err(error) => {
                     let fields = json!({"reason": error.to_string()});
                     self.log_event(now, log_event::ACCEPT_FAILED, fields);
+                    self.failed_accepts.insert(token);
                     return;
                 }
             }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -56,9 +56,10 @@
         }
     }
 
-    /// Sends the regular heartbeats, updates what depends on which daemons are alive, and prunes
+    /// Tries again to accept connections, sends the regular heartbeats, updates what depends on which daemons are alive, and prunes
     /// the worker table and the connection pools.
     pub(crate) fn heartbeat_tick(&mut self, now: Time) {
+        self.retry_accept(now);
         self.settle_view(now);
         let own = self.own_state();
         let mut actions = self.roster.tick(now, &own);
--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -196,3 +196,33 @@
     let served = |line: &String| line.starts_with("HTTP/1.1 200");
     assert!(first_statuses.iter().any(served), "{first_statuses:?}");
 }
+
+/// Guards against a listener that sleeps, under edge-triggered polling, with callers in its queue
+/// after the process had run out of descriptors.
+#[test]
+fn callers_that_wait_for_a_descriptor_are_served_once_one_is_free() {
+    let script = std::env::temp_dir().join(format!("few-fds-{}.sh", std::process::id()));
+    let program = env!("CARGO_BIN_EXE_anvilferryd");
+    let text = format!("#!/bin/sh\nulimit -n 48\nexec {program} \"$@\"\n");
+    std::fs::write(&script, text).expect("a script");
+    let mode = std::os::unix::fs::PermissionsExt::from_mode(0o700);
+    std::fs::set_permissions(&script, mode).expect("executable");
+    let mut plan = default_plan();
+    plan.daemon_centres = vec!["a"];
+    plan.program = script.clone();
+    let fleet = Fleet::start(&plan).expect("a fleet");
+    let mut conns: Vec<TcpStream> = (0..60).map(|_| connect(&fleet)).collect();
+    let mut last = conns.pop().expect("a connection");
+    let request = get("/pictures/1", "waited", true);
+    last.write_all(request.as_bytes())
+        .expect("the kernel takes it");
+    std::thread::sleep(Duration::from_millis(300));
+    drop(conns);
+    last.set_read_timeout(Some(Duration::from_secs(3)))
+        .expect("a timeout");
+    let mut text = String::new();
+    // A timeout leaves the text empty.
+    let _ = last.read_to_string(&mut text);
+    std::fs::remove_file(&script).expect("the script is there");
+    assert_eq!(answered_ids(&text), ["waited"]);
+}
