--- a/crates/call/benches/notices.rs
+++ b/crates/call/benches/notices.rs
@@ -1,4 +1,4 @@
-//! What workers get that name a limit, and what callers get when many workers ask for quiet or name
+//! What workers get that name a limit, and what callers get when many workers ask to back off or name
 //! a limit: `cargo bench -p call --bench notices`.
 
 #![allow(
@@ -85,15 +85,15 @@
 
 /// A third of the workers turn requests away or name a limit, at rising traffic.
 fn print_loads() {
-    println!("wish        load heard | in time  late refused failed | tries a request");
-    for quiet in [true, false] {
+    println!("notice      load heard | in time  late refused failed | tries a request");
+    for retry_after in [true, false] {
         for load in [0.3, 0.45, 0.6, 0.9] {
             for tells in [false, true] {
                 let mut scenario = Scenario::new(Vec::new());
                 let rate = scenario.capacity(Span::millis(76)) * load;
                 scenario.workloads = vec![reads(rate * 0.7), writes(rate * 0.3)];
                 scenario.tells = tells;
-                if quiet {
+                if retry_after {
                     scenario.turning_away = scenario.workers / 3;
                 } else {
                     let limit = Rate::per_second(4.0).expect("a valid rate");
@@ -105,9 +105,9 @@
                     f64::from(reports.iter().map(count).sum::<u32>())
                 };
                 let callers = sum(|report| report.callers);
-                let wish = if quiet { "quiet" } else { "limit 4" };
+                let notice = if retry_after { "back off" } else { "limit 4" };
                 println!(
-                    "{wish:10} {load:5} {tells:5} | {:7.3} {:5.3} {:7.3} {:6.3} | {:.3}",
+                    "{notice:10} {load:5} {tells:5} | {:7.3} {:5.3} {:7.3} {:6.3} | {:.3}",
                     sum(|report| report.timely) / callers,
                     sum(|report| report.late) / callers,
                     sum(|report| report.refused) / callers,
--- a/crates/call/src/notice_change.rs
+++ b/crates/call/src/notice_change.rs
@@ -1,6 +1,6 @@
 use pick::{NoticeSource, WorkerKey};
 
-/// A worker's response changed what this daemon knows of its wishes; the worker's record has them.
+/// A change of what a worker asks of its callers, which its record holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoticeChange {
     /// The kind of response that brought the change.
--- a/crates/call/tests/dispatcher/notices.rs
+++ b/crates/call/tests/dispatcher/notices.rs
@@ -17,9 +17,9 @@
     }
 }
 
-fn quiet(span: Span) -> Notice {
+fn retry_after(span: Span) -> Notice {
     Notice {
-        quiet: Some(span),
+        retry_after: Some(span),
         ..Notice::default()
     }
 }
@@ -121,12 +121,12 @@
 }
 
 #[test]
-fn a_worker_that_asks_for_quiet_gets_no_request_and_no_probe_until_its_end() {
+fn a_worker_that_asks_to_back_off_gets_no_request_and_no_probe_until_its_end() {
     let mut harness = Harness::new(&["x", "y"]);
     let read = Arc::new(route("r", RouteKind::Idempotent));
     let link = harness.start_attempt(&read);
     let asked = harness.workers[&link];
-    let notice = quiet(Span::secs(3));
+    let notice = retry_after(Span::secs(3));
     respond(&mut harness, link, AttemptEnding::NotRun, notice);
     harness.actions.clear();
     let mut offers = 0;
@@ -149,13 +149,13 @@
 }
 
 #[test]
-fn quiet_in_the_response_to_a_probe_counts() {
+fn a_retry_delay_in_the_response_to_a_probe_counts() {
     let mut harness = Harness::new(&["x"]);
     harness.arrive(&Arc::new(route("r", RouteKind::Idempotent)));
     let link = harness.next_probe();
     let health = HealthReport {
         healthy: false,
-        notice: quiet(Span::secs(2)),
+        notice: retry_after(Span::secs(2)),
         ..idle_health()
     };
     harness.answer_probe(link, health);
@@ -166,13 +166,13 @@
 }
 
 #[test]
-fn a_caller_is_rejected_at_once_while_all_workers_ask_for_quiet() {
+fn a_caller_is_rejected_at_once_while_all_workers_ask_to_back_off() {
     let mut harness = Harness::new(&["x", "y"]);
     let read = Arc::new(route("r", RouteKind::Idempotent));
     for span in [Span::secs(5), Span::secs(2)] {
         harness.advance(Span::millis(10));
         let link = harness.start_attempt(&read);
-        respond(&mut harness, link, AttemptEnding::NotRun, quiet(span));
+        respond(&mut harness, link, AttemptEnding::NotRun, retry_after(span));
         harness
             .actions
             .retain(|action| matches!(action, CallAction::Probe { .. }));
@@ -193,7 +193,7 @@
 }
 
 #[test]
-fn a_connection_kept_ready_is_not_used_after_the_worker_asked_for_quiet() {
+fn a_connection_kept_ready_is_not_used_after_the_worker_asked_to_back_off() {
     let mut policy = Policy::new(bounds());
     policy.bounds.probe_rate = 0.0;
     let mut harness = Harness::with_policy(&["x"], policy);
@@ -207,7 +207,7 @@
         &mut harness,
         link,
         AttemptEnding::NotRun,
-        quiet(Span::secs(1)),
+        retry_after(Span::secs(1)),
     );
     harness.actions.clear();
     harness.handle(CallEvent::ConnectEnded(second, Ok(())));
--- a/crates/call/tests/simulation/limits.rs
+++ b/crates/call/tests/simulation/limits.rs
@@ -1,10 +1,10 @@
 //! Workers that name a limit on the requests that they take from all daemons together, or turn
-//! requests away and ask for quiet.
+//! requests away and ask to back off.
 
 use {
     crate::{
         limit_rule::{SETTLING, bound, most_in_window},
-        scenario::{QUIET, Scenario, reads, writes},
+        scenario::{RETRY_DELAY, Scenario, reads, writes},
         sim_daemon::bounds,
         simulation::Simulation,
     },
@@ -82,11 +82,11 @@
     assert_eq!(simulation.count_limited(0), 0);
 }
 
-/// The most tries a request where a third of the workers ask for quiet at a light load.
+/// The most tries a request where a third of the workers ask to back off at a light load.
 const MAX_TRIES: f64 = 1.15;
 
 #[test]
-fn callers_are_served_while_a_third_of_the_workers_ask_for_quiet() {
+fn callers_are_served_while_a_third_of_the_workers_ask_to_back_off() {
     let mut scenario = limited(13, 14, Vec::new(), 220.0);
     scenario.turning_away = 4;
     let simulation = play(&scenario);
@@ -103,7 +103,7 @@
             let times: Vec<Time> = arrivals.map(|(at, _)| *at).collect();
             let early = |pair: &&[Time]| {
                 let gap = pair[1].since(pair[0]);
-                gap > Span::millis(500) && gap < QUIET
+                gap > Span::millis(500) && gap < RETRY_DELAY
             };
             assert_eq!(times.windows(2).filter(early).count(), 0);
         }
--- a/crates/call/tests/simulation/scenario.rs
+++ b/crates/call/tests/simulation/scenario.rs
@@ -6,7 +6,7 @@
 };
 
 /// How long a worker that turns requests away wants nothing from their daemons.
-pub(crate) const QUIET: Span = Span::secs(2);
+pub(crate) const RETRY_DELAY: Span = Span::secs(2);
 
 /// What a simulation consists of.
 #[derive(Clone, Debug)]
@@ -16,7 +16,7 @@
     pub(crate) daemons: usize,
     /// Whether workers say in their responses what they ask of the daemons.
     pub(crate) tells: bool,
-    /// How many workers, the last ones, turn all requests away and ask for [`QUIET`].
+    /// How many workers, the last ones, turn all requests away and ask for [`RETRY_DELAY`].
     pub(crate) turning_away: usize,
     /// Whether daemons tell each other of the limits that workers name.
     pub(crate) gossips: bool,
@@ -73,7 +73,7 @@
     pub(crate) fn notice(&self, index: usize) -> Notice {
         let turns_away = self.turns_away(index);
         Notice {
-            quiet: turns_away.then_some(QUIET),
+            retry_after: turns_away.then_some(RETRY_DELAY),
             rate_limit: self.rate_limits.get(index).copied(),
             ..Notice::default()
         }
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -102,7 +102,7 @@
         "slowness": record.slowness(now),
         "leaving": record.said_leaving(),
         "load": load,
-        "quiet_ms": record.quiet_left(now).as_millis(),
+        "retry_ms": record.retry_left(now).as_millis(),
         "limit": record.rate_limit().map(Rate::as_per_second),
     })
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -56,8 +56,8 @@
         }
     }
 
-    /// Tries again to accept connections, sends the regular heartbeats, updates what depends on which daemons are alive, and prunes
-    /// the worker table and the connection pools.
+    /// Tries again to accept connections, sends the regular heartbeats, updates what depends on
+    /// which daemons are alive, and prunes the worker table and the connection pools.
     pub(crate) fn heartbeat_tick(&mut self, now: Time) {
         self.retry_accept(now);
         self.settle_view(now);
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -104,7 +104,7 @@
                 "service": record.worker.service,
                 "leaving": record.said_leaving(),
                 "limit": record.rate_limit().map(Rate::as_per_second),
-                "quiet_ms": record.quiet_left(now).as_millis(),
+                "retry_ms": record.retry_left(now).as_millis(),
                 "source": change.source.to_string(),
                 "unreadable": change.unreadable,
             });
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn a_short_soak_with_workers_that_leave_ask_for_quiet_or_name_limits_passes() {
+fn a_short_soak_with_workers_that_leave_ask_to_back_off_or_name_limits_passes() {
     let extras = Extras {
         notices: true,
         ..Extras::default()
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -80,7 +80,7 @@
     /// The requests that this daemon sends it, within its share of the limit that it names.
     pub(crate) request_budget: RequestBudget,
     /// Until when it wants nothing from this daemon.
-    quiet_until: Time,
+    retry_at: Time,
     /// Whether it has said in a response that it leaves. Nothing that its entry says undoes that.
     pub(crate) said_leaving: bool,
     /// The hash of its process run, by which daemons tell each other of it.
@@ -118,7 +118,7 @@
             named_limit: NamedLimit::default(),
             probe_budget: ProbeBudget::new(now),
             request_budget: RequestBudget::default(),
-            quiet_until: Time::ZERO,
+            retry_at: Time::ZERO,
             said_leaving: false,
             run_hash: LimitNews::run_hash(&worker.id, worker.started_ms),
             unreadable: false,
@@ -227,8 +227,8 @@
     }
 
     /// How much longer it wants nothing from this daemon.
-    pub fn quiet_left(&self, now: Time) -> Span {
-        self.quiet_until.since(now)
+    pub fn retry_left(&self, now: Time) -> Span {
+        self.retry_at.since(now)
     }
 
     /// Whether it has said in a response that it leaves.
@@ -238,12 +238,12 @@
 
     /// Whether a request of this daemon may reach it now, by what it says of itself.
     pub(crate) fn is_open(&self, now: Time) -> bool {
-        self.quiet_until <= now && self.request_budget.next_opening(now) <= now
+        self.retry_at <= now && self.request_budget.next_opening(now) <= now
     }
 
     /// When some daemon may likely send it the next request, by what it says of itself.
     pub(crate) fn fleet_opening(&self, now: Time) -> Time {
-        self.quiet_until.max(self.request_budget.fleet_opening(now))
+        self.retry_at.max(self.request_budget.fleet_opening(now))
     }
 
     /// Sets this daemon's share of the limit that it names, if any.
@@ -318,8 +318,8 @@
         source: NoticeSource,
         notice: Notice,
     ) -> bool {
-        if let Some(quiet) = notice.quiet {
-            self.quiet_until = self.quiet_until.max(now + quiet);
+        if let Some(retry_after) = notice.retry_after {
+            self.retry_at = self.retry_at.max(now + retry_after);
         }
         let begins_to_leave = notice.leaving && !self.said_leaving;
         if begins_to_leave {
@@ -330,7 +330,7 @@
         self.unreadable |= notice.unreadable;
         let limit_changed = self.named_limit.record(now, source, notice.rate_limit);
         self.confirm_limit();
-        limit_changed || first_unreadable || begins_to_leave || notice.quiet.is_some()
+        limit_changed || first_unreadable || begins_to_leave || notice.retry_after.is_some()
     }
 
     /// Starts a backoff; each one in a row is twice as long as the one before, up to the maximum.
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -297,8 +297,8 @@
         open && self.standing(key, now) != Standing::Barred
     }
 
-    /// When the first of a service's workers may likely get a request again from some daemon. `None` if one may get it now,
-    /// or if no worker will.
+    /// When the first of a service's workers may likely get a request again from some daemon.
+    /// `None` if one may get it now, or if no worker will.
     pub fn next_opening(&self, service: &str, now: Time) -> Option<Time> {
         let keys = self.services.get(service)?;
         let mut next: Option<Time> = None;
--- a/crates/site/src/notice.rs
+++ b/crates/site/src/notice.rs
@@ -9,7 +9,7 @@
     pub leaving: bool,
     /// How long it wants nothing from the daemon that it turned away; `None` if it turned none away
     /// or doesn't say.
-    pub quiet: Option<Span>,
+    pub retry_after: Option<Span>,
     /// The requests per second that it takes from all daemons together, for as long as its
     /// responses say so; `None` if it names no limit.
     pub rate_limit: Option<Rate>,
--- a/crates/standin/src/bin/load.rs
+++ b/crates/standin/src/bin/load.rs
@@ -9,7 +9,7 @@
 };
 
 /// How long a worker that turns requests away wants nothing from their daemons.
-const QUIET: Span = Span::secs(2);
+const RETRY_DELAY: Span = Span::secs(2);
 
 /// Puts open-loop load on a fleet of real daemons and reports the results.
 #[derive(Debug, Parser)]
@@ -31,7 +31,7 @@
     #[arg(long, value_name = "RATE")]
     limit: Option<f64>,
 
-    /// Workers, the last ones, that turn all requests away and ask for two seconds of quiet.
+    /// Workers, the last ones, that turn all requests away and ask for a delay of two seconds.
     #[arg(long, default_value_t = 0, value_name = "COUNT")]
     turning_away: usize,
 
@@ -78,7 +78,7 @@
             ..Notice::default()
         });
         if index + arguments.turning_away >= fleet.workers.len() {
-            worker.turn_away(Some(QUIET));
+            worker.turn_away(Some(RETRY_DELAY));
         }
     }
     let duration = Duration::from_secs(arguments.seconds);
--- a/crates/standin/src/bin/soak.rs
+++ b/crates/standin/src/bin/soak.rs
@@ -18,7 +18,7 @@
     #[arg(long)]
     downloads: bool,
 
-    /// Have workers say now and then that they leave, ask for quiet or name a limit.
+    /// Have workers say now and then that they leave, ask to back off or name a limit.
     #[arg(long)]
     notices: bool,
 
--- a/crates/standin/src/fuzz/target.rs
+++ b/crates/standin/src/fuzz/target.rs
@@ -201,7 +201,7 @@
     sign_response(&mut response, "r-1", load);
     let notice = Notice {
         leaving: true,
-        quiet: Some(Span::secs(2)),
+        retry_after: Some(Span::secs(2)),
         rate_limit: Rate::per_second(2.5),
         unreadable: false,
     };
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -37,7 +37,7 @@
     WorkerLimits(usize, u32),
     /// Has a worker say that it leaves and starts another in its place; its entry stays as it is.
     WorkerSaysLeaving(usize),
-    /// Has a worker turn all requests away and ask for quiet until the fault ends.
+    /// Has a worker turn all requests away and ask to back off until the fault ends.
     WorkerTurnsAway(usize),
     /// Makes a worker send large responses without their last byte.
     WorkerCutsDownloads(usize),
@@ -77,7 +77,7 @@
         }
     }
 
-    /// Draws a random wish of a worker.
+    /// Draws a random notice of a worker.
     pub(crate) fn draw_notice(rng: &mut Rng) -> Self {
         let index = rng.usize(..1_000);
         match rng.u32(..3) {
--- a/crates/standin/src/soak/notices.rs
+++ b/crates/standin/src/soak/notices.rs
@@ -18,11 +18,11 @@
 /// How long after a response that says so a worker that leaves may still get requests, with a
 /// margin for a busy test machine.
 const DRAIN_LIMIT: Duration = Duration::from_millis(2_300);
-/// How long a daemon may take to comply with a wish for quiet or, for its requests to count, must
-/// have known of a limit.
+/// How long a daemon may take to back off, and how long it must have known of a limit for its
+/// requests to count.
 const REACTION: Duration = Duration::from_millis(500);
-/// The most requests of one daemon that may reach a worker in its quiet.
-const MAX_IN_QUIET: usize = 2;
+/// The most requests of one daemon that may reach a worker in the delay that it asked for.
+const MAX_IN_DELAY: usize = 2;
 /// How long after a worker first named its limit the limit is checked.
 const SETTLING: Duration = Duration::from_secs(3);
 /// The window over which requests are counted for a limit.
@@ -46,7 +46,7 @@
     }
 }
 
-/// Checks all three wishes.
+/// Checks all three notices.
 pub(crate) fn ignored_notices(
     requests: &[TimedResult],
     arrivals: &[Arrival],
@@ -55,7 +55,7 @@
 ) -> Vec<String> {
     let sent = join(requests, arrivals, indices);
     let mut violations = used_after_leaving(&sent, history);
-    violations.extend(disturbed_quiet(&sent, history));
+    violations.extend(ignored_delays(&sent, history));
     violations.extend(exceeded_limits(&sent, history));
     violations
 }
@@ -111,27 +111,27 @@
     violations
 }
 
-/// Workers that got requests from a daemon while they wanted nothing from it.
-fn disturbed_quiet(sent: &[Sent<'_>], history: &History) -> Vec<String> {
+/// Workers that got requests from a daemon that they had asked to back off.
+fn ignored_delays(sent: &[Sent<'_>], history: &History) -> Vec<String> {
     let mut violations = Vec::new();
     for asked in sent {
         let Some(response) = asked.arrival.response else {
             continue;
         };
-        let Some(quiet) = response.notice.quiet else {
+        let Some(retry_after) = response.notice.retry_after else {
             continue;
         };
         let worker = &asked.arrival.worker;
-        let end = response.at + Duration::from(quiet);
+        let end = response.at + Duration::from(retry_after);
         let late: Vec<&Sent<'_>> = sent
             .iter()
             .filter(|sent| sent.arrival.worker == *worker && sent.daemon == asked.daemon)
             .filter(|sent| sent.arrival.at > response.at + REACTION && sent.arrival.at < end)
             .filter(|sent| !restarted(history, sent.daemon, response.at, sent))
             .collect();
-        if late.len() > MAX_IN_QUIET && !is_cut(history, worker, response.at, end) {
+        if late.len() > MAX_IN_DELAY && !is_cut(history, worker, response.at, end) {
             violations.push(format!(
-                "worker {worker} asked daemon {} for quiet and got {} requests from it",
+                "worker {worker} asked daemon {} to back off and got {} requests from it",
                 asked.daemon,
                 late.len()
             ));
--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -59,7 +59,7 @@
     pub daemons: usize,
     /// Whether workers send large responses and cut them short now and then.
     pub downloads: bool,
-    /// Whether workers say now and then that they leave, ask for quiet or name a limit.
+    /// Whether workers say now and then that they leave, ask to back off or name a limit.
     pub notices: bool,
     /// The path of the daemon's program.
     pub program: PathBuf,
@@ -94,7 +94,7 @@
     strict: bool,
     /// Whether workers send large responses and cut them short now and then.
     downloads: bool,
-    /// Whether workers say now and then that they leave, ask for quiet or name a limit.
+    /// Whether workers say now and then that they leave, ask to back off or name a limit.
     notices: bool,
     /// Whether the store comes back from older copies now and then.
     restores: bool,
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -192,8 +192,8 @@
 
     /// Has it turn away every request and ask its daemon to send nothing for a span; `None` ends
     /// that.
-    pub fn turn_away(&self, quiet: Option<Span>) {
-        self.shared.lock().turning_away = quiet;
+    pub fn turn_away(&self, retry_after: Option<Span>) {
+        self.shared.lock().turning_away = retry_after;
     }
 
     /// Makes the worker cold for `duration`.
@@ -248,10 +248,10 @@
             request: id.clone(),
             worker: self.id.clone(),
         });
-        let quiet = self.lock().turning_away;
-        if quiet.is_some() || !self.take_slot(end) {
+        let retry_after = self.lock().turning_away;
+        if retry_after.is_some() || !self.take_slot(end) {
             let notice = Notice {
-                quiet,
+                retry_after,
                 ..self.notice()
             };
             let mut response = not_run_response(Some(&id));
