Soak: a worker names one limit at a time

The judge is as it was; a fault of this kind is left out where its worker names a limit already, and leaving and limits are set apart.

--- a/crates/daemon/tests/failures/notices.rs
+++ b/crates/daemon/tests/failures/notices.rs
@@ -4,7 +4,6 @@
     crate::support::{
         default_plan, new_caller, run_count, run_load, start_fleet, state_dump, wait_until,
     },
-    site::Notice,
     standin::{Execution, Fleet, Outcome},
     std::{
         thread,
@@ -34,10 +33,7 @@
     plan.worker_centres = vec!["a"];
     let fleet = Fleet::start(&plan).expect("a fleet");
     let limit = 2.0;
-    fleet.workers[0].set_notice(Notice {
-        rate_limit: Rate::per_second(limit),
-        ..Notice::default()
-    });
+    fleet.workers[0].set_rate_limit(Rate::per_second(limit));
     let began = Instant::now();
     run_load(&fleet, &[0, 1, 2, 3], 9_000);
     let runs = fleet.executions.entries();
@@ -60,10 +56,7 @@
 #[test]
 fn a_worker_that_says_it_leaves_gets_no_requests_after_the_drain_time() {
     let fleet = start_fleet();
-    fleet.workers[0].set_notice(Notice {
-        leaving: true,
-        ..Notice::default()
-    });
+    fleet.workers[0].set_leaving(true);
     for at in 0..4 {
         wait_until("the daemon was told", || {
             run_load(&fleet, &[at], 200);
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -106,3 +106,14 @@
     };
     run(20_261_207, 12, extras);
 }
+
+/// Guards against a soak that let two limits of one worker overlap: the second fault's end silenced
+/// the worker, which was then judged by the first one's limit.
+#[test]
+fn a_worker_of_a_soak_names_one_limit_at_a_time() {
+    let extras = Extras {
+        notices: true,
+        ..Extras::default()
+    };
+    run(11_042, 12, extras);
+}
--- a/crates/standin/src/bin/load.rs
+++ b/crates/standin/src/bin/load.rs
@@ -2,7 +2,6 @@
 
 use {
     clap::Parser,
-    site::Notice,
     standin::{Fleet, FleetPlan, LoadProfile, SlowCallers, StandinError},
     std::{path::PathBuf, process::ExitCode, thread, time::Duration},
     unit::{Rate, Span},
@@ -72,11 +71,8 @@
     let fleet = Fleet::start(&plan)?;
     for (index, worker) in fleet.workers.iter().enumerate() {
         worker.set_body_bytes(arguments.body);
-        worker.set_notice(Notice {
-            leaving: index < arguments.leaving,
-            rate_limit: arguments.limit.and_then(Rate::per_second),
-            ..Notice::default()
-        });
+        worker.set_leaving(index < arguments.leaving);
+        worker.set_rate_limit(arguments.limit.and_then(Rate::per_second));
         if index + arguments.turning_away >= fleet.workers.len() {
             worker.turn_away(Some(RETRY_DELAY));
         }
--- a/crates/standin/src/soak/injection.rs
+++ b/crates/standin/src/soak/injection.rs
@@ -14,7 +14,6 @@
         upstream::{Upstream, WorkerFault},
     },
     nix::sys::signal::Signal,
-    site::Notice,
     std::{
         thread,
         time::{Duration, Instant},
@@ -84,11 +83,10 @@
             }
             Fault::WorkerDies(index) => self.replace_worker(index, Ending::Dies)?,
             Fault::WorkerDrains(index) => self.replace_worker(index, Ending::Drains)?,
+            Fault::WorkerLimits(..) if self.names_limit(worker.as_ref()) => return Ok(()),
             Fault::WorkerLimits(index, limit) => {
-                self.worker(index).set_notice(Notice {
-                    rate_limit: Rate::per_second(f64::from(limit)),
-                    ..Notice::default()
-                });
+                let rate = Rate::per_second(f64::from(limit));
+                self.worker(index).set_rate_limit(rate);
             }
             Fault::WorkerSaysLeaving(index) => self.replace_worker(index, Ending::SaysLeaving)?,
             Fault::WorkerTurnsAway(index) => self.worker(index).turn_away(Some(length.into())),
@@ -167,6 +165,13 @@
         Ok(())
     }
 
+    /// Whether a worker names a limit; it names one at a time, so that the limit to check is known.
+    fn names_limit(&self, id: Option<&Name>) -> bool {
+        let limits = |active: &ActiveFault| matches!(active.fault, Fault::WorkerLimits(..));
+        let mut active = self.active.iter();
+        active.any(|active| limits(active) && active.worker.as_ref() == id)
+    }
+
     /// Whether the store's copy is still needed.
     fn is_restoring(&self) -> bool {
         let restoring = |fault| matches!(fault, Fault::Restore | Fault::WriteAgain);
@@ -231,7 +236,7 @@
         let Some(worker) = self.fleet.workers.iter().find(matches_id) else {
             return;
         };
-        worker.set_notice(Notice::default());
+        worker.set_rate_limit(None);
         if let Some(rate) = Rate::per_second(f64::from(limit)) {
             let subject = (worker.entry.id.clone(), rate);
             self.history.limits.push(interval(active, subject));
@@ -255,10 +260,7 @@
                 self.fleet.store.put_worker(&old.draining_entry());
                 self.history.draining.push((old_id, Instant::now()));
             }
-            Ending::SaysLeaving => old.set_notice(Notice {
-                leaving: true,
-                ..Notice::default()
-            }),
+            Ending::SaysLeaving => old.set_leaving(true),
             Ending::Dies => {
                 self.fleet.store.remove_worker(&old_id);
                 self.fleet.worker_proxies.remove(&old_id);
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -17,7 +17,7 @@
         thread,
         time::{Duration, Instant},
     },
-    unit::{Name, Span},
+    unit::{Name, Rate, Span},
     wire::{Request, Response},
 };
 
@@ -185,9 +185,16 @@
         self.shared.lock().body_bytes = bytes;
     }
 
-    /// Sets what responses to requests ask of the callers. Responses to health probes don't say it.
-    pub fn set_notice(&self, notice: Notice) {
-        self.shared.lock().notice = notice;
+    /// Sets whether responses to requests say that the worker leaves. Responses to health probes
+    /// don't say it.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.lock().notice.leaving = leaving;
+    }
+
+    /// Sets the limit that responses to requests name, if any. Responses to health probes don't name
+    /// it.
+    pub fn set_rate_limit(&self, limit: Option<Rate>) {
+        self.shared.lock().notice.rate_limit = limit;
     }
 
     /// Has it turn away every request and ask its daemon to send nothing for a span; `None` ends
