--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -389,19 +389,11 @@
     ));
 }
 
-/// The requests that a table of the daemon `front-a-1` may send at once to a worker that names a
-/// limit, where `others` are in the worker's data centre too.
-fn share_among(table: &mut WorkerTable, others: &[&str]) -> usize {
-    let others: Vec<(Name, Name)> = others
-        .iter()
-        .map(|name| ((*name).into(), "a".into()))
-        .collect();
-    table.set_members(others.iter().map(|(name, centre)| (name, centre)));
-    let mut table = table.clone();
-    table.allow_shares_from(Some(at(0)));
+/// How many requests a daemon may send at once to a worker in data centre `a` that names a limit.
+fn sends_at_once(mut table: WorkerTable, limit: f64) -> usize {
     let key = table.upsert(worker("x", "a"), at(0));
     let notice = Notice {
-        rate_limit: Rate::per_second(1.0),
+        rate_limit: Rate::per_second(limit),
         ..Notice::default()
     };
     table.record_notice(key, at(0), Span::secs(2), NoticeSource::Response, notice);
@@ -413,6 +405,18 @@
     count
 }
 
+/// The requests that a table of the daemon `front-a-1` may send at once to a worker that names a
+/// limit, where `others` are in the worker's data centre too.
+fn share_among(table: &mut WorkerTable, others: &[&str]) -> usize {
+    let others: Vec<(Name, Name)> = others
+        .iter()
+        .map(|name| ((*name).into(), "a".into()))
+        .collect();
+    table.set_members(others.iter().map(|(name, centre)| (name, centre)));
+    table.allow_shares_from(Some(at(0)));
+    sends_at_once(table.clone(), 1.0)
+}
+
 /// Guards against a table that compared the numbers of members only.
 #[test]
 fn a_member_replaced_by_another_changes_the_shares() {
@@ -445,18 +449,7 @@
     let others = others.iter().filter(|(other, _)| **other != *name);
     let others: unit::Map<Name, Name> = others.cloned().collect();
     table.set_members(others.iter());
-    let key = table.upsert(worker("x", "a"), at(0));
-    let notice = Notice {
-        rate_limit: Rate::per_second(limit),
-        ..Notice::default()
-    };
-    table.record_notice(key, at(0), Span::secs(2), NoticeSource::Response, notice);
-    let mut count = 0;
-    while table.may_send(key, at(0)) {
-        table.record_sent(key, at(0), false);
-        count += 1;
-    }
-    count
+    sends_at_once(table, limit)
 }
 
 quickcheck! {
