Turns of the event loop are measured, and what selection looks at is counted

Cause sought: the logs don't tell a loop that stands still from one that waits, so the three hypotheses could not be told apart. No decision changes.

Tests of pick, call and daemon pass.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -207,6 +207,7 @@
                 self.handle_io_event(now, event.token(), event.is_writable());
             }
             self.run_due_timers(self.clock.now());
+            self.record_turn(now, events.iter().count());
             self.log.flush(now);
             if self
                 .shutdown
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 mod site_changes;
 mod store_conn;
 mod timers;
+mod turns;
 mod worker_responses;
 mod workers;
 
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -54,4 +54,5 @@
     408 RELAYED "relayed";
     409 RELAY_BROKEN "relay-broken";
     500 ACCEPT_FAILED "accept-failed";
+    501 TURN_SLOW "turn-slow";
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -14,6 +14,9 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
 ];
 
+/// The upper bounds of the buckets for turns of the event loop, in seconds.
+const TURN_BUCKETS_S: [f64; 8] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
+
 /// The metrics of the daemon, in a registry of their own.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -21,6 +24,8 @@
     pub(crate) heartbeats: IntCounter,
     /// Connections opened to workers.
     pub(crate) connections: IntCounter,
+    /// Entries of workers and daemons that were looked at to select workers.
+    pub(crate) examined: IntCounter,
     /// The time from reading a request to delivering its response, in seconds.
     pub(crate) latency: Histogram,
     /// Responses that the daemon itself gave, by status.
@@ -42,6 +47,8 @@
     sends: IntCounterVec,
     /// Calls to the platform's store.
     pub(crate) store_calls: IntCounter,
+    /// The time from a poll's return to the next poll, in seconds.
+    pub(crate) turns: Histogram,
     /// Times that a request backed off because no suitable worker was found.
     waits: IntCounter,
 }
@@ -55,6 +62,11 @@
             "Time from a request to the worker's answer",
         );
         let latency = latency.buckets(LATENCY_BUCKETS_S.to_vec());
+        let turns = HistogramOpts::new(
+            "anvilferry_turn_seconds",
+            "Time that the event loop takes for the events of one poll",
+        );
+        let turns = turns.buckets(TURN_BUCKETS_S.to_vec());
         Self {
             heartbeats: counter(
                 &registry,
@@ -66,6 +78,11 @@
                 "connections_total",
                 "Connections opened to workers",
             ),
+            examined: counter(
+                &registry,
+                "examined_total",
+                "Entries looked at to select workers",
+            ),
             latency: register(&registry, Histogram::with_opts(latency)),
             own_responses: counter_vec(
                 &registry,
@@ -105,6 +122,7 @@
                 "store_calls_total",
                 "Calls to the platform's store",
             ),
+            turns: register(&registry, Histogram::with_opts(turns)),
             waits: counter(
                 &registry,
                 "waits_total",
--- a/crates/pick/src/selection.rs
+++ b/crates/pick/src/selection.rs
@@ -48,6 +48,7 @@
     /// selected.
     pub fn select(&self, now: Time, criteria: &Criteria<'_>, rng: &mut Rng) -> Option<Selection> {
         let keys = self.services.get(criteria.service)?;
+        self.count_examined(keys.len());
         let explore = rng.u32(..EXPLORE_ONE_IN) == 0;
         let any_usable = keys
             .iter()
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -3,6 +3,7 @@
     fastrand::Rng,
     limit::{FleetPosition, LOCAL_FRACTION, Placement},
     site::{Departure, HealthReport, LoadReport, Notice, Service, Worker, WorkerState},
+    std::cell::Cell,
     unit::{Map, Name, Set, Span, Time, rendezvous_weight},
 };
 
@@ -22,6 +23,8 @@
     shares_from: Option<Time>,
     /// The evacuated data centres.
     evacuated: Set<Name>,
+    /// How many workers and daemons were looked at to select workers.
+    examined: Cell<u64>,
     /// The current key of each worker id.
     ids: Map<Name, WorkerKey>,
     /// The process runs of workers that said that they leave and whose records were dropped, by id
@@ -46,6 +49,7 @@
             centre,
             shares_from: None,
             evacuated: Set::default(),
+            examined: Cell::new(0),
             ids: Map::default(),
             left: Map::default(),
             name,
@@ -147,6 +151,17 @@
         }
     }
 
+    /// How many entries of workers and daemons were looked at so far to select workers: the measure
+    /// of what selection costs.
+    pub fn examined(&self) -> u64 {
+        self.examined.get()
+    }
+
+    /// Counts entries that were looked at.
+    pub(crate) fn count_examined(&self, entries: usize) {
+        self.examined.set(self.examined.get() + entries as u64);
+    }
+
     /// The number of registered daemons, including this one.
     pub fn member_count(&self) -> usize {
         self.members.len()
@@ -175,6 +190,8 @@
         let Some(record) = self.records.get_mut(&key) else {
             return false;
         };
+        self.examined
+            .set(self.examined.get() + self.members.len() as u64);
         let home = &record.worker.centre;
         let local = self
             .members
@@ -390,6 +407,7 @@
     /// This daemon's position among the registered ones, in an order that all daemons compute alike
     /// and that differs from worker to worker.
     fn fleet_position(&self, worker_id: &str) -> FleetPosition {
+        self.count_examined(self.members.len());
         let own = (rendezvous_weight(worker_id, &self.name), &self.name);
         let before = |name: &&Name| (rendezvous_weight(worker_id, name), *name) < own;
         FleetPosition {
