Failing test: selection in a large fleet looks at each worker hundreds of times

Once the permits for probes are used up, each worker without one costs another ranking of all workers, then again for those that might be used without a probe, where in addition each costs a ranking of all daemons.

--- a/crates/call/tests/dispatcher/overload.rs
+++ b/crates/call/tests/dispatcher/overload.rs
@@ -5,7 +5,7 @@
     call::{AttemptEnding, CallAction, CallError, CallEvent, Policy},
     site::{Config, Route, RouteKind},
     std::sync::Arc,
-    unit::Span,
+    unit::{Name, Span},
 };
 
 #[test]
@@ -116,3 +116,57 @@
     // and two more after it, and 23 requests as if it were cold.
     assert!(served >= 390 && refused <= 4, "{served} {refused}");
 }
+
+/// Guards against a daemon that stands still while it selects workers: deadlines and the ends of
+/// callers' connections wait meanwhile.
+#[test]
+fn selection_in_a_large_fleet_looks_at_each_worker_a_few_times_only() {
+    const WORKERS: usize = 414;
+    const DAEMONS: usize = 472;
+    /// One pass over the workers each: for a probe, for a worker without one, and to give up.
+    const MAX_PASSES: u64 = 3;
+    let ids: Vec<String> = (0..WORKERS).map(|at| format!("i-{at}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut policy = Policy::new(bounds());
+    policy.bounds.probe_rate = 60.0;
+    let mut harness = Harness::with_policy(&ids, policy);
+    let others: Vec<Name> = (1..DAEMONS)
+        .map(|at| format!("front-{at}").into())
+        .collect();
+    let centre = Name::from("a");
+    let members = others.iter().map(|name| (name, &centre));
+    harness.dispatcher.table.set_members(members);
+    let route = Arc::new(route("r", RouteKind::Idempotent));
+    let full = health(4, 8, 100);
+    let mut most = 0;
+    for _ in 0..40 {
+        harness.arrive(&route);
+        let end = harness.now + Span::millis(20);
+        loop {
+            let before = harness.dispatcher.table.examined();
+            let probe = harness.actions.iter().find_map(|action| match action {
+                CallAction::Probe { link, .. } => Some(*link),
+                _ => None,
+            });
+            harness.actions.clear();
+            let tick = harness.dispatcher.next_tick().filter(|at| *at <= end);
+            match (probe, tick) {
+                (Some(link), _) => harness.answer_probe(link, full.clone()),
+                (None, Some(at)) => {
+                    harness.now = harness.now.max(at);
+                    let due = harness.dispatcher.next_tick();
+                    harness.handle(CallEvent::Tick);
+                    assert_ne!(harness.dispatcher.next_tick(), due, "the timer has run");
+                }
+                (None, None) => break,
+            }
+            most = most.max(harness.dispatcher.table.examined() - before);
+        }
+        harness.now = end;
+    }
+    let bound = MAX_PASSES * (WORKERS + DAEMONS) as u64;
+    assert!(
+        most <= bound,
+        "{most} entries for one event, {bound} allowed"
+    );
+}
