Daemons rank each other on a ring of hashes: a share of a cold worker's limit costs no pass over the fleet

Each permit to send to a cold worker hashed every daemon's name against the worker's id to find this daemon's rank, and each permit for a health probe counted the daemons of the worker's data centre; both were asked for hundreds of workers in one event. Ruled out: a kept rank a worker, since one new daemon makes all of them stale at once (414 x 472 hashes). Change: pick::Fleet keeps the daemons' points in order and counts by data centre; a rank is a binary search, and one daemon more or less still moves no rank by more than one.

--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -2,6 +2,7 @@
 //! them.
 
 mod attempt_outcome;
+mod fleet;
 mod latency_estimate;
 mod median_estimate;
 mod named_limit;
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -1,10 +1,12 @@
 use {
-    crate::{AttemptOutcome, LimitNews, NoticeSource, Standing, WorkerKey, WorkerRecord},
+    crate::{
+        AttemptOutcome, LimitNews, NoticeSource, Standing, WorkerKey, WorkerRecord, fleet::Fleet,
+    },
     fastrand::Rng,
-    limit::{FleetPosition, LOCAL_FRACTION, Placement},
+    limit::LOCAL_FRACTION,
     site::{Departure, HealthReport, LoadReport, Notice, Service, Worker, WorkerState},
     std::cell::Cell,
-    unit::{Map, Name, Set, Span, Time, rendezvous_weight},
+    unit::{Map, Name, Set, Span, Time},
 };
 
 /// How old what is told to other daemons of a worker's limit may be.
@@ -23,17 +25,15 @@
     shares_from: Option<Time>,
     /// The evacuated data centres.
     evacuated: Set<Name>,
-    /// How many workers and daemons were looked at to select workers.
+    /// How many workers were looked at to select one.
     examined: Cell<u64>,
     /// The current key of each worker id.
     ids: Map<Name, WorkerKey>,
     /// The process runs of workers that said that they leave and whose records were dropped, by id
     /// and start time, and when. An older list of workers must not bring them back.
     left: Map<(Name, u64), Time>,
-    /// The registered daemons and their data centres.
-    members: Map<Name, Name>,
-    /// This daemon's name.
-    name: Name,
+    /// The registered daemons.
+    fleet: Fleet,
     /// The next key to assign.
     next_key: u32,
     /// The workers of each service.
@@ -45,14 +45,13 @@
     pub fn new(name: Name, centre: Name) -> Self {
         Self {
             records: Map::default(),
-            members: [(name.clone(), centre.clone())].into_iter().collect(),
+            fleet: Fleet::new(name, centre.clone()),
             centre,
             shares_from: None,
             evacuated: Set::default(),
             examined: Cell::new(0),
             ids: Map::default(),
             left: Map::default(),
-            name,
             next_key: 0,
             services: Map::default(),
         }
@@ -136,13 +135,9 @@
         &mut self,
         others: impl ExactSizeIterator<Item = (&'a Name, &'a Name)> + Clone,
     ) {
-        let known = |(name, centre): (&Name, &Name)| self.members.get(name) == Some(centre);
-        if others.len() + 1 == self.members.len() && others.clone().all(known) {
+        if !self.fleet.replace(others) {
             return;
         }
-        let others = others.map(|(name, centre)| (name.clone(), centre.clone()));
-        self.members = others.collect();
-        self.members.insert(self.name.clone(), self.centre.clone());
         let limited = self.records.iter();
         let limited = limited.filter(|(_, record)| record.rate_limit().is_some());
         let keys: Vec<WorkerKey> = limited.map(|(key, _)| *key).collect();
@@ -151,20 +146,19 @@
         }
     }
 
-    /// How many entries of workers and daemons were looked at so far to select workers: the measure
-    /// of what selection costs.
+    /// How many workers were looked at so far to select one: the measure of what selection costs.
     pub fn examined(&self) -> u64 {
         self.examined.get()
     }
 
-    /// Counts entries that were looked at.
-    pub(crate) fn count_examined(&self, entries: usize) {
-        self.examined.set(self.examined.get() + entries as u64);
+    /// Counts workers that were looked at.
+    pub(crate) fn count_examined(&self, workers: usize) {
+        self.examined.set(self.examined.get() + workers as u64);
     }
 
     /// The number of registered daemons, including this one.
     pub fn member_count(&self) -> usize {
-        self.members.len()
+        self.fleet.count()
     }
 
     /// The record of a worker.
@@ -190,18 +184,12 @@
         let Some(record) = self.records.get_mut(&key) else {
             return false;
         };
-        self.examined
-            .set(self.examined.get() + self.members.len() as u64);
         let home = &record.worker.centre;
-        let local = self
-            .members
-            .values()
-            .filter(|centre| *centre == home)
-            .count();
+        let local = self.fleet.count_in(home);
         let (fraction, sharers) = if *home == self.centre {
             (LOCAL_FRACTION, local)
         } else {
-            (1.0 - LOCAL_FRACTION, self.members.len() - local)
+            (1.0 - LOCAL_FRACTION, self.fleet.count() - local)
         };
         let rate = fleet_limit * fraction / sharers.max(1) as f64;
         record.probe_budget.take_permit(now, rate)
@@ -245,7 +233,7 @@
         let Some(record) = self.records.get(&key) else {
             return false;
         };
-        let position = self.fleet_position(&record.worker.id);
+        let position = self.fleet.position(&record.worker.id);
         let Some(record) = self.records.get_mut(&key) else {
             return false;
         };
@@ -404,18 +392,6 @@
         service.cold_start.rate * factor + slack
     }
 
-    /// This daemon's position among the registered ones, in an order that all daemons compute alike
-    /// and that differs from worker to worker.
-    fn fleet_position(&self, worker_id: &str) -> FleetPosition {
-        self.count_examined(self.members.len());
-        let own = (rendezvous_weight(worker_id, &self.name), &self.name);
-        let before = |name: &&Name| (rendezvous_weight(worker_id, name), *name) < own;
-        FleetPosition {
-            count: self.members.len(),
-            rank: self.members.keys().filter(before).count(),
-        }
-    }
-
     /// Whether a request of this daemon may reach a worker now, by what the worker says of itself.
     pub(crate) fn is_open(&self, record: &WorkerRecord, now: Time) -> bool {
         let shares = self.shares_from.is_some_and(|at| now >= at);
@@ -427,33 +403,12 @@
         let Some(record) = self.records.get(&key) else {
             return;
         };
-        let placement = self.placement(&record.worker);
+        let placement = self.fleet.placement(&record.worker);
         if let Some(record) = self.records.get_mut(&key) {
             record.divide_limit(placement);
         }
     }
 
-    /// This daemon's place among those that share a worker's limit.
-    fn placement(&self, worker: &Worker) -> Placement {
-        let is_local = |centre: &Name| *centre == worker.centre;
-        let weight = |name: &Name| rendezvous_weight(&worker.id, name);
-        let own = (weight(&self.name), &self.name);
-        let same_side = |centre: &Name| is_local(centre) == is_local(&self.centre);
-        let before =
-            |(name, centre): &(&Name, &Name)| same_side(centre) && (weight(name), *name) < own;
-        let local = self
-            .members
-            .values()
-            .filter(|centre| is_local(centre))
-            .count();
-        Placement {
-            is_local: is_local(&self.centre),
-            local,
-            rank: self.members.iter().filter(before).count(),
-            remote: self.members.len() - local,
-        }
-    }
-
     /// Drops a worker's record, and its key from the indexes by id and by service.
     fn remove(&mut self, key: WorkerKey, now: Time) {
         let Some(record) = self.records.remove(&key) else {
