Selection ranks the workers once and goes on in that ranking: a large fleet's daemon stands still no more

What callers saw (users' CONFIG and GONE on the site with 472 daemons): routes' timeouts passed without an answer, changes came into force late, and workers went on for callers that had left. Cause: once the permits for health probes were used up, each worker that was passed over cost another ranking of all workers, with a list of those to leave out that grew each time; then the same for workers without a probe. With 414 workers one event took 26 ms of a full core in the mean, 122 ms at most, ten times that on a tenth of a core, and all else waited for it. Class of fault: work in the one event loop that grows with the product of fleet sizes. Change: WorkerTable::rank gives an iterator (a heap, so that only what is taken is ordered).

--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -38,37 +38,21 @@
             self.conclude_selection(now, id);
             return;
         }
-        let mut excluded = [&call.probed[..], &call.sent_to[..]].concat();
-        let (sent_count, excluded_count) = (call.sent_to.len(), excluded.len());
+        let excluded = [&call.probed[..], &call.sent_to[..]].concat();
+        let none_probed = call.probed.is_empty();
+        let has_candidate = call.candidate.is_some();
         let call = call.clone();
         let skip_busy = call.backed_off && self.may_back_off(now, &call);
-        let service = call.service.clone();
         let probe_limit = self.policy.bounds.probe_rate;
-        loop {
-            let criteria = Criteria {
-                skip_busy,
-                excluded: &excluded,
-                service: &service,
-            };
-            let Some(selected) = self.table.select(now, &criteria, &mut self.rng) else {
-                if excluded.len() == sent_count && !skip_busy {
-                    // Only workers that got the request already are excluded, so there is no
-                    // worker to wait for.
-                    self.give_up(now, id);
-                } else if excluded.len() > excluded_count {
-                    // The workers that are left may get no more probes from this daemon now.
-                    self.select_unprobed(now, id);
-                } else {
-                    self.conclude_selection(now, id);
-                }
-                return;
-            };
+        let criteria = Criteria {
+            skip_busy,
+            excluded: &excluded,
+            service: &call.service,
+        };
+        let mut any_passed_over = false;
+        for selected in self.table.rank(now, &criteria, &mut self.rng) {
             // Workers that failed lately or are leaving are probed only if there is no candidate
             // yet.
-            let has_candidate = self
-                .calls
-                .get(&id)
-                .is_some_and(|call| call.candidate.is_some());
             if has_candidate && selected.standing >= Standing::Suspect {
                 self.conclude_selection(now, id);
                 return;
@@ -77,7 +61,17 @@
                 self.send_probe(now, id, selected.key);
                 return;
             }
-            excluded.push(selected.key);
+            any_passed_over = true;
+        }
+        if any_passed_over {
+            // The workers that are left may get no more probes from this daemon now.
+            self.select_unprobed(now, id);
+        } else if none_probed && !skip_busy {
+            // Only workers that got the request already are excluded, so there is no worker to
+            // wait for.
+            self.give_up(now, id);
+        } else {
+            self.conclude_selection(now, id);
         }
     }
 
@@ -122,26 +116,21 @@
             self.conclude_selection(now, id);
             return;
         }
-        let mut excluded = [&call.probed[..], &call.sent_to[..]].concat();
-        loop {
-            let criteria = Criteria {
-                skip_busy: false,
-                excluded: &excluded,
-                service: &call.service,
-            };
-            let selected = self.table.select(now, &criteria, &mut self.rng);
-            let Some(selected) = selected.filter(|selected| selected.standing <= Standing::Suspect)
-            else {
-                self.conclude_selection(now, id);
-                return;
-            };
+        let excluded = [&call.probed[..], &call.sent_to[..]].concat();
+        let criteria = Criteria {
+            skip_busy: false,
+            excluded: &excluded,
+            service: &call.service,
+        };
+        let ranking = self.table.rank(now, &criteria, &mut self.rng);
+        for selected in ranking.take_while(|selected| selected.standing <= Standing::Suspect) {
             if self.likely_free(now, &call, selected.key, selected.standing)
                 && self.connect_unprobed(now, &call, id, selected.key)
             {
                 return;
             }
-            excluded.push(selected.key);
         }
+        self.conclude_selection(now, id);
     }
 
     /// Whether a worker can take the request as far as is known without a probe.
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -16,7 +16,7 @@
     latency_estimate::LatencyEstimate,
     median_estimate::MedianEstimate,
     named_limit::{LimitNews, NoticeSource},
-    selection::{Criteria, Selection},
+    selection::{Criteria, Ranking, Selection},
     worker_key::WorkerKey,
     worker_record::{Standing, WorkerRecord},
     worker_table::WorkerTable,
--- a/crates/pick/src/selection.rs
+++ b/crates/pick/src/selection.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Standing, WorkerKey, WorkerRecord, WorkerTable},
     fastrand::Rng,
-    std::cmp::Ordering,
+    std::{cmp::Ordering, collections::BinaryHeap},
     unit::{Span, Time},
 };
 
@@ -41,46 +41,92 @@
     pub standing: Standing,
 }
 
+/// The workers that a request may get, from the best to the worst. Only those that are taken from it
+/// are put in order.
+#[derive(Debug)]
+pub struct Ranking(BinaryHeap<RankedWorker>);
+
+impl Iterator for Ranking {
+    type Item = Selection;
+
+    fn next(&mut self) -> Option<Selection> {
+        self.0.pop().map(|ranked| ranked.selection)
+    }
+}
+
+/// A worker in a [`Ranking`]; the greatest is the best.
+#[derive(Clone, Copy, Debug)]
+struct RankedWorker {
+    cost: f64,
+    selection: Selection,
+    tier: u32,
+}
+
+impl Ord for RankedWorker {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let tier = other.tier.cmp(&self.tier);
+        tier.then_with(|| other.cost.total_cmp(&self.cost))
+    }
+}
+
+impl PartialOrd for RankedWorker {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for RankedWorker {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for RankedWorker {}
+
 impl WorkerTable {
-    /// Selects the next worker for a request. Workers of the own data centre rank first, those that
+    /// Ranks the workers for a request. Workers of the own data centre rank first, those that
     /// were just found slow or full later, those that failed recently or leave last; workers of
-    /// equal rank are compared by cost. Workers that may not get a request now are never
-    /// selected.
-    pub fn select(&self, now: Time, criteria: &Criteria<'_>, rng: &mut Rng) -> Option<Selection> {
-        let keys = self.services.get(criteria.service)?;
+    /// equal rank are compared by cost. Workers that may not get a request now are left out.
+    ///
+    /// This looks at every worker of the service, so a request that passes over some goes on in
+    /// the same ranking.
+    pub fn rank(&self, now: Time, criteria: &Criteria<'_>, rng: &mut Rng) -> Ranking {
+        let keys = self.services.get(criteria.service);
+        let keys = keys.map(Vec::as_slice).unwrap_or_default();
         self.count_examined(keys.len());
         let explore = rng.u32(..EXPLORE_ONE_IN) == 0;
-        let any_usable = keys
+        let open: Vec<(WorkerKey, Standing, &WorkerRecord)> = keys
+            .iter()
+            .filter_map(|key| {
+                let record = self.records.get(key)?;
+                let standing = self.standing(*key, now);
+                let open = standing != Standing::Barred && self.is_open(record, now);
+                open.then_some((*key, standing, record))
+            })
+            .collect();
+        let any_usable = open
             .iter()
-            .any(|key| self.standing(*key, now) == Standing::Usable && self.may_send(*key, now));
-        let mut best: Option<(Selection, (u32, f64))> = None;
-        for key in keys.iter().filter(|key| !criteria.excluded.contains(key)) {
-            let Some(record) = self.records.get(key) else {
-                continue;
-            };
-            let standing = self.standing(*key, now);
+            .any(|(_, standing, _)| *standing == Standing::Usable);
+        let ranked = open.into_iter().filter_map(|(key, standing, record)| {
             // While other workers can be reached, a probe of one in backoff would be wasted.
-            let skipped = (any_usable && record.in_backoff(now))
+            let skipped = criteria.excluded.contains(&key)
+                || (any_usable && record.in_backoff(now))
                 || (criteria.skip_busy && record.busy_within(now, BUSY_EXCLUSION));
-            if standing == Standing::Barred || skipped || !self.is_open(record, now) {
-                continue;
+            if skipped {
+                return None;
             }
             let local = record.worker.centre == self.centre;
-            let tier = tier(record, standing, local, explore, now);
-            let score = (tier, cost(record, now, rng));
-            let better = |(_, other): &(Selection, (u32, f64))| {
-                score.partial_cmp(other) == Some(Ordering::Less)
-            };
-            if best.as_ref().is_none_or(better) {
-                let selection = Selection {
-                    key: *key,
+            Some(RankedWorker {
+                cost: cost(record, now, rng),
+                selection: Selection {
+                    key,
                     local,
                     standing,
-                };
-                best = Some((selection, score));
-            }
-        }
-        best.map(|(selection, _)| selection)
+                },
+                tier: tier(record, standing, local, explore, now),
+            })
+        });
+        Ranking(ranked.collect())
     }
 }
 
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -69,7 +69,7 @@
             excluded: &excluded,
             service: "s",
         };
-        let Some(selection) = table.select(now, &criteria, &mut rng) else {
+        let Some(selection) = table.rank(now, &criteria, &mut rng).next() else {
             return names;
         };
         excluded.push(selection.key);
