The registered daemons are compared once a tick, not with each heartbeat

Each received datagram compared all registered daemons with the table's, and each new one divided the limit of every worker that names one anew, a pass over the daemons each: 414 x 472 hashes a joining daemon. Change: heartbeat_tick does it, five times a second. A new daemon uses no share for 3 s, so 0.2 s later others still count it in time. Found by reading; not measured alone.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -52,10 +52,12 @@
     }
 
     /// Tries again to accept connections, sends the regular heartbeats, updates what depends on
-    /// which daemons are alive, and prunes the worker table and the connection pools.
+    /// which daemons are registered or alive, and prunes the worker table and the connection pools.
     pub(crate) fn heartbeat_tick(&mut self, now: Time) {
         self.retry_accept(now);
         self.settle_view(now);
+        // Once a tick: each change costs a pass over the daemons for every worker that names a limit.
+        self.update_table_members();
         let own = self.own_state();
         let mut actions = self.roster.tick(now, &own);
         self.add_limits(now, &mut actions);
@@ -268,7 +270,6 @@
         let actions = self.roster.handle_heartbeat(now, &heartbeat, &own);
         self.run_roster_actions(now, actions);
         self.adopt_limits(now, &heartbeat.limits);
-        self.update_table_members();
     }
 
     /// Starts fetching site changes from a daemon, unless a fetch is in progress.
