--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -278,6 +278,9 @@
 
     /// How many times slower it is than its load implies; decays towards 1 between samples.
     pub fn slowness(&self, now: Time) -> f64 {
+        if self.slowness == 1.0 {
+            return 1.0;
+        }
         let age = now.since(self.slowness_at).as_secs();
         self.slowness
             .powf(0.5_f64.powf(age / SLOWNESS_HALF_LIFE_SECONDS))
@@ -355,6 +358,9 @@
 
     /// The failure penalty, decayed to `now`.
     fn failure_penalty(&self, now: Time) -> f64 {
+        if self.failure_penalty == 0.0 {
+            return 0.0;
+        }
         let age = now.since(self.penalty_at).as_secs();
         self.failure_penalty * 0.5_f64.powf(age / PENALTY_HALF_LIFE_SECONDS)
     }
