--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -128,16 +128,17 @@
         bytes: &[u8],
         ending: Option<ConnectionEnd>,
     ) {
+        if ending.is_some() {
+            // Requests that came with the end of the connection are not begun.
+            self.caller_closed(now, conn_key);
+            return;
+        }
         if let Some(caller) = self.caller_conn(conn_key)
             && !caller.closing
         {
             caller.reader.push(bytes);
             self.read_requests(now, conn_key);
         }
-        if ending.is_some() {
-            self.caller_closed(now, conn_key);
-            return;
-        }
         self.update_caller_timer(now, conn_key);
     }
 
--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -1,7 +1,8 @@
 //! Callers that send invalid messages, pipelined requests or unusual bodies.
 
 use {
-    crate::support::{default_plan, run_load_served, start_fleet, state_dump, wait_until},
+    crate::support::{default_plan, metric, run_load_served, start_fleet, state_dump, wait_until},
+    nix::sys::signal::Signal,
     standin::{Fleet, StoreFault},
     std::{
         io::{Read, Write},
@@ -226,3 +227,25 @@
     std::fs::remove_file(&script).expect("the script is there");
     assert_eq!(answered_ids(&text), ["waited"]);
 }
+
+/// Guards against work for callers that have left: after a pause, their requests and closes are read
+/// together.
+#[test]
+fn requests_of_callers_that_left_before_they_were_read_cause_no_probe() {
+    let fleet = start_fleet();
+    let before = metric(&fleet, 0, "anvilferry_probes_total");
+    fleet.signal(0, Signal::SIGSTOP).expect("running");
+    for at in 0..20 {
+        let request = get("/pictures/1", &format!("left-{at}"), false);
+        let mut conn = connect(&fleet);
+        conn.write_all(request.as_bytes())
+            .expect("the kernel takes it");
+    }
+    fleet.signal(0, Signal::SIGCONT).expect("running");
+    // This caller is accepted after those that left, and its request needs no worker.
+    let text = exchange(&fleet, get("/nowhere/", "stays", true).as_bytes());
+    assert!(text.starts_with("HTTP/1.1 404"), "{text}");
+    let after = metric(&fleet, 0, "anvilferry_probes_total");
+    assert_eq!(after, before);
+    assert!(fleet.executions.entries().is_empty());
+}
--- a/crates/daemon/tests/failures/support.rs
+++ b/crates/daemon/tests/failures/support.rs
@@ -98,3 +98,13 @@
         .filter(|worker| worker["standing"] == "usable")
         .count()
 }
+
+/// The value of a daemon's metric that has no labels; 0 if the page doesn't hold it.
+pub(crate) fn metric(fleet: &Fleet, at: usize, name: &str) -> f64 {
+    let page = fleet.operators_page(at, "/metrics").unwrap_or_default();
+    let value = page.lines().find_map(|line| {
+        let rest = line.strip_prefix(name)?;
+        rest.trim().parse().ok()
+    });
+    value.unwrap_or_default()
+}
