Log lines of sent requests have a fingerprint, the same when the request comes again

Each try of a caller has its own id, so the logs could not tell a request that comes again, and crashes worker after worker, from several requests. Change: event 400 has the hash of the caller's address, host, method, target and body. No decision uses it.

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -13,9 +13,13 @@
     call::{Arrival, CallEvent, CallId},
     peer::Stage,
     platform::{RequestHead, problem_response},
+    poison::Fingerprint,
     serde_json::json,
     site::Route,
-    std::sync::Arc,
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+    },
     unit::{Span, Time},
     wire::{Request, WireError},
 };
@@ -199,6 +203,18 @@
         let Some(conn) = self.conns.get(conn_key) else {
             return;
         };
+        let caller = match conn.channel.sock.peer_addr() {
+            Ok(SocketAddr::V4(address)) => *address.ip(),
+            // The connection has just ended, or isn't of this protocol; the next read tells.
+            Ok(SocketAddr::V6(_)) | Err(_) => Ipv4Addr::UNSPECIFIED,
+        };
+        let fingerprint = Fingerprint::new(
+            caller,
+            &head.host,
+            &request.method,
+            &request.target,
+            &request.body,
+        );
         let arrival = Arrival {
             call: id,
             timeout: head.deadline,
@@ -207,6 +223,7 @@
         };
         let active = ActiveRequest {
             deadline: now + arrival.max_wait(),
+            fingerprint,
             started: arrived,
             is_head: form.is_head,
             id: head.id.as_str().into(),
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -5,6 +5,7 @@
     call::{CallAction, CallError, CallId, Decision, DecisionRecord, LinkId},
     pick::WorkerKey,
     platform::problem_response,
+    poison::Fingerprint,
     serde_json::{Value, json},
     site::LoadReport,
     unit::{Name, Rate, Time},
@@ -16,6 +17,8 @@
 pub(crate) struct ActiveRequest {
     /// When its time is over.
     pub(crate) deadline: Time,
+    /// By what the request is known when it comes again.
+    pub(crate) fingerprint: Fingerprint,
     /// When the request was read.
     pub(crate) started: Time,
     /// Whether this is a HEAD request, whose response has no body.
@@ -155,6 +158,11 @@
         };
         self.metrics.count_decision(&record.decision);
         let mut fields = fields;
+        if matches!(record.decision, Decision::Sent { .. })
+            && let Some(active) = self.calls.get(&record.call)
+        {
+            fields["fingerprint"] = json!(active.fingerprint.to_string());
+        }
         fields["request"] = json!(request);
         fields["elapsed_ms"] = json!(elapsed);
         self.log_event(now, event, fields);
--- a/crates/unit/src/hash.rs
+++ b/crates/unit/src/hash.rs
@@ -19,9 +19,10 @@
     xxh3_64_with_seed(node.as_bytes(), xxh3_64(key.as_bytes()))
 }
 
-/// A digest of a sequence of names; it depends on their order and is the same in every process.
-pub fn digest<'a>(names: impl IntoIterator<Item = &'a str>) -> u64 {
-    names
+/// A digest of a sequence of byte strings; it depends on their order and is the same in every
+/// process.
+pub fn digest<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    parts
         .into_iter()
-        .fold(0, |digest, name| xxh3_64_with_seed(name.as_bytes(), digest))
+        .fold(0, |digest, part| xxh3_64_with_seed(part, digest))
 }
