Failing tests: a request that crashes each worker that runs it reaches one after the other

Stand-in workers crash on a target of choice: the listener closes, then all connections, and 0.3 s later it listens again.

--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -13,7 +13,12 @@
 
 /// Connects to the first daemon.
 pub(crate) fn connect(fleet: &Fleet) -> TcpStream {
-    let conn = TcpStream::connect(fleet.address(0)).expect("the daemon listens");
+    connect_to(fleet, 0)
+}
+
+/// Connects to a daemon.
+pub(crate) fn connect_to(fleet: &Fleet, at: usize) -> TcpStream {
+    let conn = TcpStream::connect(fleet.address(at)).expect("the daemon listens");
     conn.set_read_timeout(Some(Duration::from_secs(10)))
         .expect("a timeout");
     conn
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -8,6 +8,7 @@
 
 mod callers;
 mod changes;
+mod crashes;
 mod daemons;
 mod downloads;
 mod explain;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -5,16 +5,19 @@
         io::{self, Read, Write},
         net::{Shutdown, SocketAddrV4, TcpListener, TcpStream},
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Condvar, Mutex, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
         thread::{self, JoinHandle},
+        time::Duration,
     },
     wire::{Limits, Request, RequestReader, Response},
 };
 
 /// Bytes read at a time.
 const CHUNK_SIZE: usize = 16 << 10;
+/// The pause between two tries to listen again after a crash.
+const BIND_RETRY: Duration = Duration::from_millis(5);
 /// The largest request body accepted, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -26,6 +29,9 @@
     RawBytes(Vec<u8>),
     /// Closes the connection without a response.
     Close,
+    /// Closes all connections and refuses new ones for a time, like a process that crashes and is
+    /// started again.
+    Crash(Duration),
     /// Never responds, and discards what the client sends until it closes the connection.
     Hang,
 }
@@ -44,6 +50,47 @@
     stop: Arc<AtomicBool>,
 }
 
+/// A crash that a request asked for.
+#[derive(Debug, Default)]
+struct Crash {
+    /// How long the server is to be down; `None` while no crash is asked for.
+    down: Mutex<Option<Duration>>,
+    /// Notified when the listener is closed.
+    closed: Condvar,
+}
+
+impl Crash {
+    /// Has the listener at `address` closed for a time, and waits until it is.
+    fn begin(&self, address: SocketAddrV4, span: Duration) {
+        let mut down = self.down.lock().unwrap_or_else(PoisonError::into_inner);
+        if down.is_some() {
+            return;
+        }
+        *down = Some(span);
+        // Unblocks the accept loop so that it sees the crash.
+        let _ = TcpStream::connect(address);
+        while down.is_some() {
+            down = self
+                .closed
+                .wait(down)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
+    /// Takes the crash that was asked for, if any, once the listener is closed.
+    fn take(&self) -> Option<Duration> {
+        let mut down = self.down.lock().unwrap_or_else(PoisonError::into_inner);
+        let span = down.take();
+        self.closed.notify_all();
+        span
+    }
+
+    fn is_asked_for(&self) -> bool {
+        let down = self.down.lock().unwrap_or_else(PoisonError::into_inner);
+        down.is_some()
+    }
+}
+
 impl Server {
     /// Starts a server on an address; port 0 stands for any free port.
     pub(crate) fn start(address: SocketAddrV4, handler: Arc<Handler>) -> io::Result<Self> {
@@ -51,11 +98,18 @@
         let port = listener.local_addr()?.port();
         let conns: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let stop: Arc<AtomicBool> = Arc::default();
-        let (thread_conns, thread_stop) = (Arc::clone(&conns), Arc::clone(&stop));
-        let thread =
-            thread::spawn(move || accept(&listener, &thread_conns, &thread_stop, &handler));
+        let address = SocketAddrV4::new(*address.ip(), port);
+        let crash: Arc<Crash> = Arc::default();
+        let acceptor = Acceptor {
+            address,
+            conns: Arc::clone(&conns),
+            crash: Arc::clone(&crash),
+            handler,
+            stop: Arc::clone(&stop),
+        };
+        let thread = thread::spawn(move || acceptor.run(listener));
         Ok(Self {
-            address: SocketAddrV4::new(*address.ip(), port),
+            address,
             conns,
             listener: Some(thread),
             stop,
@@ -64,11 +118,7 @@
 
     /// Closes all open connections.
     pub(crate) fn close_connections(&self) {
-        let mut conns = self.conns.lock().unwrap_or_else(PoisonError::into_inner);
-        for conn in conns.drain(..) {
-            // Shutting down fails if the connection is already closed.
-            let _ = conn.shutdown(Shutdown::Both);
-        }
+        close_all(&self.conns);
     }
 }
 
@@ -85,33 +135,90 @@
     }
 }
 
-/// Accepts connections and starts a thread for each until the stop flag is set.
-fn accept(
-    listener: &TcpListener,
-    conns: &Mutex<Vec<TcpStream>>,
-    stop: &AtomicBool,
-    handler: &Arc<Handler>,
-) {
-    for conn in listener.incoming() {
-        if stop.load(Ordering::Relaxed) {
-            return;
+/// Accepts the connections of a server.
+struct Acceptor {
+    address: SocketAddrV4,
+    conns: Arc<Mutex<Vec<TcpStream>>>,
+    crash: Arc<Crash>,
+    handler: Arc<Handler>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Acceptor {
+    /// Accepts connections until the stop flag is set, with a break for each crash.
+    fn run(&self, mut listener: TcpListener) {
+        loop {
+            self.accept(&listener);
+            drop(listener);
+            let Some(span) = self.crash.take() else {
+                return;
+            };
+            thread::sleep(span);
+            listener = loop {
+                if self.stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                match TcpListener::bind(self.address) {
+                    Ok(listener) => break listener,
+                    // Another socket uses the port for a moment.
+                    Err(_) => thread::sleep(BIND_RETRY),
+                }
+            };
         }
-        let Ok(conn) = conn else {
-            continue;
-        };
-        if let Ok(copy) = conn.try_clone() {
-            let mut conns = conns.lock().unwrap_or_else(PoisonError::into_inner);
-            conns.retain(|conn| conn.peer_addr().is_ok());
-            conns.push(copy);
+    }
+
+    /// Accepts connections and starts a thread for each until the stop flag is set or a crash is
+    /// asked for.
+    fn accept(&self, listener: &TcpListener) {
+        for conn in listener.incoming() {
+            if self.stop.load(Ordering::Relaxed) || self.crash.is_asked_for() {
+                return;
+            }
+            let Ok(conn) = conn else {
+                continue;
+            };
+            if let Ok(copy) = conn.try_clone() {
+                let mut conns = self.conns.lock().unwrap_or_else(PoisonError::into_inner);
+                conns.retain(|conn| conn.peer_addr().is_ok());
+                conns.push(copy);
+            }
+            let handler = Arc::clone(&self.handler);
+            let crash = ConnCrash {
+                address: self.address,
+                conns: Arc::clone(&self.conns),
+                crash: Arc::clone(&self.crash),
+            };
+            // An error ends only this connection.
+            thread::spawn(move || serve(conn, &*handler, &crash).ok());
         }
-        let handler = Arc::clone(handler);
-        // An error ends only this connection.
-        thread::spawn(move || serve(conn, &*handler).ok());
+    }
+}
+
+/// What a connection's thread needs to crash its server.
+struct ConnCrash {
+    address: SocketAddrV4,
+    conns: Arc<Mutex<Vec<TcpStream>>>,
+    crash: Arc<Crash>,
+}
+
+impl ConnCrash {
+    fn crash(&self, span: Duration) {
+        self.crash.begin(self.address, span);
+        close_all(&self.conns);
+    }
+}
+
+/// Closes all connections.
+fn close_all(conns: &Mutex<Vec<TcpStream>>) {
+    let mut conns = conns.lock().unwrap_or_else(PoisonError::into_inner);
+    for conn in conns.drain(..) {
+        // Shutting down fails if the connection is already closed.
+        let _ = conn.shutdown(Shutdown::Both);
     }
 }
 
 /// Handles the requests of a connection, one after another.
-fn serve(mut conn: TcpStream, handler: &Handler) -> io::Result<()> {
+fn serve(mut conn: TcpStream, handler: &Handler, crash: &ConnCrash) -> io::Result<()> {
     conn.set_nodelay(true)?;
     let mut reader = RequestReader::new(Limits {
         body_bytes: MAX_BODY_BYTES,
@@ -147,6 +254,10 @@
                 conn.write_all(&bytes)?;
                 return conn.shutdown(Shutdown::Both);
             }
+            Reply::Crash(span) => {
+                crash.crash(span);
+                return Ok(());
+            }
             Reply::Close => return conn.shutdown(Shutdown::Both),
             Reply::Hang => while conn.read(&mut chunk)? > 0 {},
         }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -25,6 +25,8 @@
 const MAX_WAITING: u32 = 8;
 /// How often a worker checks whether the connection of a running request has closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// How long a worker that has crashed is down.
+pub(crate) const CRASH_TIME: Duration = Duration::from_millis(300);
 /// The latency, in percent, of a machine at normal speed.
 const NORMAL_PERCENT: u32 = 100;
 
@@ -66,6 +68,8 @@
 struct State {
     /// The least length of a response's body, in bytes; shorter ones are padded.
     body_bytes: usize,
+    /// The targets of requests that crash it.
+    crash_target: Option<String>,
     /// When the cold start ends.
     cold_end: Option<Instant>,
     fault: WorkerFault,
@@ -133,6 +137,7 @@
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 body_bytes: 0,
+                crash_target: None,
                 cold_end: None,
                 fault: WorkerFault::None,
                 healthy: true,
@@ -203,6 +208,11 @@
         self.shared.lock().turning_away = retry_after;
     }
 
+    /// Has it crash when it runs a request with this target, and be down for 0.3 s.
+    pub fn crash_on(&self, target: &str) {
+        self.shared.lock().crash_target = Some(target.to_owned());
+    }
+
     /// Makes the worker cold for `duration`.
     pub fn set_cold(&self, duration: Duration) {
         self.shared.lock().cold_end = Some(Instant::now() + duration);
@@ -281,6 +291,9 @@
             (state.fault, state.last_request.replace(id.clone()))
         };
         self.slot_free.notify_one();
+        if self.lock().crash_target.as_ref() == Some(&request.target) {
+            return Reply::Crash(CRASH_TIME);
+        }
         match result {
             WorkResult::Disconnected => Reply::Close,
             WorkResult::TimedOut => {
