--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -48,9 +48,8 @@
         };
         let fingerprint = call.fingerprint;
         match report.ending {
-            AttemptEnding::Served | AttemptEnding::Failed => {
-                self.crash_log.record_response(now, fingerprint);
-            }
+            // A worker's error response, as at the deadline, doesn't show that the request may be run.
+            AttemptEnding::Served => self.crash_log.record_response(now, fingerprint),
             AttemptEnding::Lost => self.check_worker(&attempt, fingerprint),
             _ => {}
         }
--- a/crates/call/tests/dispatcher/crashes.rs
+++ b/crates/call/tests/dispatcher/crashes.rs
@@ -91,17 +91,26 @@
     assert_eq!(crashes.len(), 2);
 }
 
-#[test]
-fn a_response_ends_what_was_held_against_a_request() {
+/// Whether the first request is barred after two crashes, an attempt with this ending and one more
+/// crash.
+fn barred_around(ending: AttemptEnding) -> bool {
     let mut harness = Harness::new(&["x"]);
-    let link = harness.start_attempt(&Arc::new(route("r", RouteKind::Idempotent)));
+    let link = harness.start_attempt(&Arc::new(route("r", RouteKind::AtMostOnce)));
     for run in 0..2 {
         tell_crash(&mut harness, run);
     }
-    harness.end_attempt(link, AttemptEnding::Served);
+    harness.end_attempt(link, ending);
     tell_crash(&mut harness, 2);
-    assert_eq!(
-        harness.dispatcher.crash_log().barred(harness.now, FIRST),
-        None
-    );
+    harness
+        .dispatcher
+        .crash_log()
+        .barred(harness.now, FIRST)
+        .is_some()
+}
+
+#[test]
+fn only_a_success_ends_what_was_held_against_a_request() {
+    assert!(!barred_around(AttemptEnding::Served));
+    assert!(barred_around(AttemptEnding::Failed));
+    assert!(barred_around(AttemptEnding::NotRun));
 }
--- a/crates/poison/src/crash_log.rs
+++ b/crates/poison/src/crash_log.rs
@@ -33,7 +33,7 @@
 /// What is known of one request.
 #[derive(Clone, Debug, Default)]
 struct Record {
-    /// When a worker last responded to the request; no crash before that is kept.
+    /// When a worker last served the request; no crash before that is kept.
     answered_at: Option<Time>,
     /// Whether it is barred until [`BAR`] after its last crash.
     barred: bool,
@@ -96,7 +96,7 @@
         self.add_crash(now, now, request, run)
     }
 
-    /// Records that a worker responded to a request, which therefore doesn't crash each worker.
+    /// Records that a worker served a request, which therefore doesn't crash each worker.
     pub fn record_response(&mut self, now: Time, request: Fingerprint) {
         if self.records.contains_key(&request) {
             self.clear(now, now, request);
--- a/crates/poison/src/crash_news.rs
+++ b/crates/poison/src/crash_news.rs
@@ -12,6 +12,6 @@
     /// The request.
     pub request: Fingerprint,
     /// The hash of the process run of the worker that crashed with the request in flight; `None` if
-    /// a worker responded to the request, which ends all that was held against it.
+    /// a worker served the request, which ends all that was held against it.
     pub run: Option<u32>,
 }
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Such a request comes again and again, at any daemon, and would end one worker after the other.
 //! Daemons note which request was in flight at a worker that crashed, tell each other of it, and
-//! bar a request once it has crashed [`MAX_CRASHES`] workers without a response in between.
+//! bar a request once it has crashed [`MAX_CRASHES`] workers without one that served it in between.
 
 mod crash_log;
 mod crash_news;
