A request that crashes workers is known whatever address it comes from

Ruled out: see the postmortem; the caller's address is what is left of the fingerprint. Change: it is left out. Since requests of many callers then share a fingerprint, crashes less than 5 ms apart count as one (workers that end at the same moment have a cause of their own), and times before a daemon's start are kept apart, which they weren't: a daemon that had just started took all that it was told for one moment.

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -16,10 +16,7 @@
     poison::Fingerprint,
     serde_json::json,
     site::{Route, normal_host},
-    std::{
-        net::{Ipv4Addr, SocketAddr},
-        sync::Arc,
-    },
+    std::sync::Arc,
     unit::{Span, Time},
     wire::{Request, WireError},
 };
@@ -203,13 +200,7 @@
         let Some(conn) = self.conns.get(conn_key) else {
             return;
         };
-        let caller = match conn.channel.sock.peer_addr() {
-            Ok(SocketAddr::V4(address)) => *address.ip(),
-            // The connection has just ended, or isn't of this protocol; the next read tells.
-            Ok(SocketAddr::V6(_)) | Err(_) => Ipv4Addr::UNSPECIFIED,
-        };
         let fingerprint = Fingerprint::new(
-            caller,
             &normal_host(&head.host),
             &request.method,
             request.path(),
--- a/crates/poison/src/crash_log.rs
+++ b/crates/poison/src/crash_log.rs
@@ -11,10 +11,16 @@
 const MAX_KEPT: usize = 16;
 /// The most requests that are remembered.
 const MAX_REQUESTS: usize = 2_048;
+/// Crashes closer together count as one: workers that crash at the same moment have a cause of their
+/// own, and a request that causes crashes reaches one worker after the other.
+const SAME_MOMENT: Span = Span::millis(5);
 /// How long a crash counts towards barring a request.
 const CRASH_LIFE: Span = Span::secs(60);
 /// How long a request is barred after its last crash.
 const BAR: Span = Span::secs(600);
+/// What happened before the start of this process has a time too: all times here are later than those
+/// of its clock by this span, which is longer than anything is remembered.
+const HORIZON: Span = Span::secs(3_600);
 /// How long news is passed on after it was learned; gossip reaches all daemons in that time.
 const NEWS_LIFE: Span = Span::secs(3);
 
@@ -44,6 +50,21 @@
 }
 
 impl Record {
+    /// The crashes that count towards barring it, oldest first: of those at the same moment one.
+    fn counted(&self) -> Vec<Crash> {
+        let mut crashes = self.crashes.clone();
+        crashes.sort_unstable_by_key(|crash| (crash.at, crash.run));
+        let mut last: Option<Time> = None;
+        crashes.retain(|crash| {
+            let apart = last.is_none_or(|last| crash.at.since(last) >= SAME_MOMENT);
+            if apart {
+                last = Some(crash.at);
+            }
+            apart
+        });
+        crashes
+    }
+
     fn last_crash(&self) -> Option<Time> {
         self.crashes.iter().map(|crash| crash.at).max()
     }
@@ -68,7 +89,7 @@
     /// How much longer a request is barred; `None` if it may be sent.
     pub fn barred(&self, now: Time, request: Fingerprint) -> Option<Span> {
         let record = self.records.get(&request).filter(|record| record.barred)?;
-        let left = (record.last_crash()? + BAR).since(now);
+        let left = (record.last_crash()? + BAR).since(now + HORIZON);
         (left > Span::ZERO).then_some(left)
     }
 
@@ -93,11 +114,13 @@
     /// Records that a worker crashed while it had the request in flight; `run` is the hash of its
     /// process run. Returns whether the request is newly barred.
     pub fn record_crash(&mut self, now: Time, request: Fingerprint, run: u32) -> bool {
+        let now = now + HORIZON;
         self.add_crash(now, now, request, run)
     }
 
     /// Records that a worker served a request, which therefore doesn't crash each worker.
     pub fn record_response(&mut self, now: Time, request: Fingerprint) {
+        let now = now + HORIZON;
         if self.records.contains_key(&request) {
             self.clear(now, now, request);
         }
@@ -105,6 +128,7 @@
 
     /// Adopts what another daemon told. Returns whether a request is newly barred.
     pub fn adopt(&mut self, now: Time, news: CrashNews) -> bool {
+        let now = now + HORIZON;
         let at = now.saturating_sub(news.age);
         match news.run {
             Some(run) => self.add_crash(now, at, news.request, run),
@@ -118,6 +142,7 @@
     /// What to tell other daemons: at most `max` pieces of news, responses first, then of the requests
     /// with the most crashes, then what was told least.
     pub fn news(&mut self, now: Time, max: usize) -> Vec<CrashNews> {
+        let now = now + HORIZON;
         let is_new = |learned_at: Time| now.since(learned_at) < NEWS_LIFE;
         let mut responses = Vec::new();
         let mut crashes: Vec<(usize, Fingerprint, &mut Crash)> = Vec::new();
@@ -153,14 +178,22 @@
         let Some((request, record)) = barred.get(turn % barred.len().max(1)) else {
             return Vec::new();
         };
-        let crashes = record.crashes.iter().rev().take(MAX_CRASHES);
-        crashes
-            .map(|crash| told(now, **request, crash.at, Some(crash.run)))
-            .collect()
+        let crashes = record.counted();
+        // Those at both ends and in the middle lie farthest apart, so that they still count as
+        // several where their ages have changed a little on the way.
+        let [Some(first), Some(middle), Some(last)] =
+            [0, crashes.len() / 2, crashes.len().saturating_sub(1)].map(|at| crashes.get(at))
+        else {
+            return Vec::new();
+        };
+        [first, middle, last]
+            .map(|crash| told(now + HORIZON, **request, crash.at, Some(crash.run)))
+            .into()
     }
 
     /// Forgets what no longer counts.
     pub fn prune(&mut self, now: Time) {
+        let now = now + HORIZON;
         self.records.retain(|_, record| {
             let last = record.last_crash().max(record.answered_at);
             let life = if record.barred { BAR } else { CRASH_LIFE };
@@ -195,7 +228,7 @@
             run,
             told: 0,
         });
-        let newly_barred = !record.barred && record.crashes.len() >= MAX_CRASHES;
+        let newly_barred = !record.barred && record.counted().len() >= MAX_CRASHES;
         if newly_barred {
             record.barred = true;
         }
@@ -229,7 +262,7 @@
         record.answered_at = Some(at);
         record.learned_at = now;
         record.crashes.retain(|crash| crash.at > at);
-        record.barred &= record.crashes.len() >= MAX_CRASHES;
+        record.barred &= record.counted().len() >= MAX_CRASHES;
     }
 
     /// Makes room for one more request: forgets the one with the fewest crashes, of several the one
