A connection that sends without end gets a share of the event loop's turns only

Cause: a connection was read until nothing was left, so one that sends faster than it is read kept the loop for good; all others, timers and heartbeats waited. Class of fault: a loop whose end depends on the other side.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -81,6 +81,9 @@
     /// The serial number that was given last.
     next_serial: u64,
     pub(crate) poll: Poll,
+    /// The connections of which there may be more to read though their readiness isn't reported
+    /// again: their keys in `conns` and their serial numbers.
+    pub(crate) unread: VecDeque<(usize, u64)>,
     /// The connections to each worker.
     pub(crate) pools: Map<WorkerKey, Pool>,
     /// The other daemons of the fleet.
@@ -165,6 +168,7 @@
             next_call: 0,
             next_serial: 0,
             poll,
+            unread: VecDeque::new(),
             pools: Map::default(),
             roster: Roster::new(
                 settings.name.clone(),
@@ -206,6 +210,7 @@
             for event in &events {
                 self.handle_io_event(now, event.token(), event.is_writable());
             }
+            self.read_rest(now);
             self.run_due_timers(self.clock.now());
             self.record_turn(now, events.iter().count());
             self.log.flush(now);
@@ -333,8 +338,12 @@
         }
     }
 
-    /// How long polling may wait: until the next heartbeat, tick or timer is due.
+    /// How long polling may wait: until the next heartbeat, tick or timer is due; not at all while
+    /// there is more to read.
     fn poll_timeout(&self, now: Time) -> Duration {
+        if !self.unread.is_empty() {
+            return Duration::ZERO;
+        }
         let next = [
             Some(self.next_heartbeat),
             self.dispatcher.next_tick(),
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         channel::ReadResult,
-        conn::ConnKind,
+        conn::{Conn, ConnKind},
         constants::ADMIN_IDLE_TIMEOUT,
         daemon::Daemon,
         listeners::{FIRST_CONN_TOKEN, ListenerKind, UDP_TOKEN},
@@ -119,36 +119,43 @@
         self.read_conn(now, conn_key);
     }
 
-    /// Reads from a connection until nothing is left, or until the caller of a worker's response is
-    /// slow.
+    /// Reads about one chunk from a connection, unless the caller of a worker's response is slow. If
+    /// there may be more, the connection is read again after all others that are ready, so that one
+    /// that sends without end has a share of the turns only.
     pub(crate) fn read_conn(&mut self, now: Time, conn_key: usize) {
-        let Some(serial) = self.conns.get(conn_key).map(|conn| conn.serial) else {
+        if self.is_reading_paused(conn_key) {
+            return;
+        }
+        let Some(conn) = self.conns.get_mut(conn_key) else {
             return;
         };
-        loop {
-            let Some(conn) = self.conns.get(conn_key) else {
-                return;
-            };
-            if conn.serial != serial || !conn.channel.connected {
-                return;
-            }
-            if self.is_reading_paused(conn_key) {
-                return;
-            }
-            let Some(conn) = self.conns.get_mut(conn_key) else {
-                return;
-            };
-            let mut bytes = Vec::new();
-            let result = conn.channel.read(&mut bytes, now);
-            let ending = match result {
-                ReadResult::Ended(ending) => Some(ending),
-                ReadResult::Drained | ReadResult::More => None,
-            };
-            if !bytes.is_empty() || ending.is_some() {
-                self.handle_received(now, conn_key, &bytes, ending);
+        if !conn.channel.connected {
+            return;
+        }
+        let serial = conn.serial;
+        let mut bytes = Vec::new();
+        let result = conn.channel.read(&mut bytes, now);
+        let ending = match result {
+            ReadResult::Ended(ending) => Some(ending),
+            ReadResult::Drained => None,
+            ReadResult::More => {
+                if !self.unread.contains(&(conn_key, serial)) {
+                    self.unread.push_back((conn_key, serial));
+                }
+                None
             }
-            if result != ReadResult::More {
-                return;
+        };
+        if !bytes.is_empty() || ending.is_some() {
+            self.handle_received(now, conn_key, &bytes, ending);
+        }
+    }
+
+    /// Goes on with the connections of which there was more to read, each once.
+    pub(crate) fn read_rest(&mut self, now: Time) {
+        for (conn_key, serial) in std::mem::take(&mut self.unread) {
+            let same = |conn: &Conn| conn.serial == serial;
+            if self.conns.get(conn_key).is_some_and(same) {
+                self.read_conn(now, conn_key);
             }
         }
     }
--- /dev/null
+++ b/crates/daemon/tests/failures/floods.rs
@@ -0,0 +1,109 @@
+//! Bytes without end: the harm of one connection stays its own.
+
+use {
+    crate::{
+        callers::{connect, get},
+        support::{run_load_served, start_fleet},
+    },
+    standin::{Fleet, WorkerFault},
+    std::{
+        io::{Read, Write},
+        net::{Shutdown, TcpStream},
+        thread::{self, JoinHandle},
+        time::Duration,
+    },
+};
+
+/// Reads and drops all that arrives on a connection, in a thread of its own.
+fn discard(conn: &TcpStream) -> JoinHandle<()> {
+    let mut conn = conn.try_clone().expect("a second handle");
+    thread::spawn(move || {
+        let mut chunk = vec![0; 64 << 10];
+        while conn.read(&mut chunk).is_ok_and(|size| size > 0) {}
+    })
+}
+
+/// Sends reads to the first daemon until one of them is at a worker with this fault, which then ends
+/// for later requests. Returns the connections, whose responses are dropped.
+fn begin_flood(fleet: &Fleet, fault: WorkerFault) -> Vec<TcpStream> {
+    for worker in &fleet.workers {
+        worker.set_fault(fault);
+    }
+    let conns: Vec<TcpStream> = (0..3)
+        .map(|at| {
+            let mut conn = connect(fleet);
+            let request = get("/pictures/1", &format!("flood-{at}"), false);
+            conn.write_all(request.as_bytes())
+                .expect("the daemon reads");
+            discard(&conn);
+            conn
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    for worker in &fleet.workers {
+        worker.set_fault(WorkerFault::None);
+    }
+    conns
+}
+
+/// Asserts that a daemon serves all other requests while workers send without end.
+fn others_are_served_beside(fault: WorkerFault) {
+    let fleet = start_fleet();
+    let conns = begin_flood(&fleet, fault);
+    run_load_served(&fleet, &[0], 1_000);
+    drop(conns);
+}
+
+#[test]
+fn others_are_served_beside_a_response_without_end() {
+    others_are_served_beside(WorkerFault::FloodsBody);
+}
+
+#[test]
+fn others_are_served_beside_interim_responses_without_end() {
+    others_are_served_beside(WorkerFault::FloodsInterim);
+}
+
+/// Asserts that a daemon serves all other callers while one sends `head` and then `part` again and
+/// again.
+fn others_are_served_beside_caller(head: &str, part: &str) {
+    let fleet = start_fleet();
+    let mut conn = connect(&fleet);
+    discard(&conn);
+    let (head, part) = (head.to_owned(), part.repeat(200));
+    let mut sender = conn.try_clone().expect("a second handle");
+    let flood = thread::spawn(move || {
+        let mut going = sender.write_all(head.as_bytes()).is_ok();
+        while going {
+            going = sender.write_all(part.as_bytes()).is_ok();
+        }
+    });
+    run_load_served(&fleet, &[0], 1_000);
+    // The daemon may have closed the connection.
+    let _ = conn.shutdown(Shutdown::Both);
+    let _ = conn.flush();
+    flood.join().expect("the flood ends");
+}
+
+#[test]
+fn others_are_served_beside_pipelined_requests_without_end() {
+    others_are_served_beside_caller("", &get("/nowhere/", "flood", false));
+}
+
+#[test]
+fn others_are_served_beside_chunk_extensions_without_end() {
+    others_are_served_beside_caller(
+        "POST /payouts/1 HTTP/1.1\r\nHost: gallery.example\r\nRequest-Id: x\r\n\
+         Transfer-Encoding: chunked\r\n\r\n",
+        "1;extension=value\r\nx\r\n",
+    );
+}
+
+#[test]
+fn others_are_served_beside_trailers_without_end() {
+    others_are_served_beside_caller(
+        "POST /payouts/1 HTTP/1.1\r\nHost: gallery.example\r\nRequest-Id: x\r\n\
+         Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        "Trailer: value\r\n",
+    );
+}
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -12,6 +12,7 @@
 mod daemons;
 mod downloads;
 mod explain;
+mod floods;
 mod notices;
 mod restores;
 mod stops;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -32,6 +32,13 @@
     /// Closes all connections and refuses new ones for a time, like a process that crashes and is
     /// started again.
     Crash(Duration),
+    /// Sends a head and then the same bytes again and again until the client closes the connection.
+    Flood {
+        /// What is sent first.
+        head: Vec<u8>,
+        /// What is sent again and again.
+        part: Vec<u8>,
+    },
     /// Never responds, and discards what the client sends until it closes the connection.
     Hang,
 }
@@ -259,6 +266,12 @@
                 return Ok(());
             }
             Reply::Close => return conn.shutdown(Shutdown::Both),
+            Reply::Flood { head, part } => {
+                conn.write_all(&head)?;
+                loop {
+                    conn.write_all(&part)?;
+                }
+            }
             Reply::Hang => while conn.read(&mut chunk)? > 0 {},
         }
     }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -18,7 +18,7 @@
         time::{Duration, Instant},
     },
     unit::{Name, Rate, Span},
-    wire::{Request, Response},
+    wire::{BodyCoding, Request, Response},
 };
 
 /// The maximum number of requests waiting for a slot.
@@ -27,6 +27,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a worker that has crashed is down.
 pub(crate) const CRASH_TIME: Duration = Duration::from_millis(300);
+/// How many times a part of a flood is sent in one write.
+const FLOOD_REPEATS: usize = 200;
 /// The latency, in percent, of a machine at normal speed.
 const NORMAL_PERCENT: u32 = 100;
 
@@ -40,6 +42,12 @@
     /// Sends an extra response, with the id of the request that ended before, ahead of each
     /// response.
     ExtraResponse,
+    /// Sends a signed response whose body never ends.
+    FloodsBody,
+    /// Sends interim responses without end in place of a response.
+    FloodsInterim,
+    /// Sends a response without end to health probes.
+    FloodsProbes,
     /// Runs requests and never responds.
     Hangs,
     /// Works normally.
@@ -246,6 +254,9 @@
     /// Responds to a health probe, or runs a request and responds to it.
     fn handle(&self, request: &Request, conn: &TcpStream) -> Reply {
         if request.path() == crate::config::HEALTH_PATH {
+            if self.lock().fault == WorkerFault::FloodsProbes {
+                return endless_body(&health_response(&self.health()));
+            }
             return Reply::Response(health_response(&self.health()));
         }
         let head = read_forwarded_head(request);
@@ -426,9 +437,15 @@
         sign_response(&mut response, id, load);
         add_notice(&mut response.headers, notice);
         match fault {
-            WorkerFault::Errors | WorkerFault::None | WorkerFault::Slow(_) => {
-                Reply::Response(response)
-            }
+            WorkerFault::FloodsBody => endless_body(&response),
+            WorkerFault::FloodsInterim => Reply::Flood {
+                head: Vec::new(),
+                part: b"HTTP/1.1 102 Processing\r\n\r\n".repeat(FLOOD_REPEATS),
+            },
+            WorkerFault::Errors
+            | WorkerFault::FloodsProbes
+            | WorkerFault::None
+            | WorkerFault::Slow(_) => Reply::Response(response),
             WorkerFault::ExtraResponse => {
                 let mut extra = Response::new(200);
                 extra.body = b"late".to_vec();
@@ -460,6 +477,16 @@
     }
 }
 
+/// A response with this one's headers and a body in chunks that never ends.
+fn endless_body(response: &Response) -> Reply {
+    let mut head = Vec::new();
+    response.encode_head(&mut head, BodyCoding::Chunked);
+    Reply::Flood {
+        head,
+        part: b"10\r\n................\r\n".repeat(FLOOD_REPEATS),
+    }
+}
+
 /// Returns whether the other end has closed the connection.
 fn is_closed(conn: &TcpStream) -> bool {
     if conn.set_nonblocking(true).is_err() {
