A response to a health probe may have a body of 16 KiB

Cause: responses of workers are read without a limit on their length, since large ones to requests are passed on; one to a probe was kept whole, for two seconds after the probe was given up.

--- a/crates/daemon/src/worker_responses.rs
+++ b/crates/daemon/src/worker_responses.rs
@@ -13,6 +13,9 @@
     wire::{ConnectionEnd, Response},
 };
 
+/// The longest body of a response to a health probe, in bytes.
+const MAX_PROBE_BODY_BYTES: usize = 16 << 10;
+
 impl Daemon {
     /// Handles all complete responses that have arrived on a connection.
     pub(crate) fn read_responses(&mut self, now: Time, conn_key: usize) {
@@ -62,7 +65,13 @@
                 self.relay_body(now, call, &part, false);
             }
             WorkerPhase::Sent { .. } => self.consider_relay(now, conn_key),
-            _ => {}
+            WorkerPhase::ProbeAbandoned | WorkerPhase::Probing(_) => {
+                let partial = worker.reader.partial();
+                if partial.is_some_and(|partial| partial.buffered > MAX_PROBE_BODY_BYTES) {
+                    self.worker_failed(now, conn_key, AttemptEnding::InvalidResponse);
+                }
+            }
+            WorkerPhase::Checking(_) | WorkerPhase::Idle | WorkerPhase::Reserved(_) => {}
         }
     }
 
--- a/crates/daemon/tests/failures/floods.rs
+++ b/crates/daemon/tests/failures/floods.rs
@@ -64,6 +64,18 @@
     others_are_served_beside(WorkerFault::FloodsInterim);
 }
 
+/// Guards against responses to probes that fill the daemon's memory, too.
+#[test]
+fn others_are_served_beside_responses_to_probes_without_end() {
+    /// What a daemon may need, in bytes.
+    const MAX_MEMORY: u64 = 64 << 20;
+    let fleet = start_fleet();
+    fleet.workers[0].set_fault(WorkerFault::FloodsProbes);
+    run_load_served(&fleet, &[0], 1_000);
+    let peak = fleet.peak_memory(0).expect("a running daemon");
+    assert!(peak <= MAX_MEMORY, "{peak} bytes");
+}
+
 /// Asserts that a daemon serves all other callers while one sends `head` and then `part` again and
 /// again.
 fn others_are_served_beside_caller(head: &str, part: &str) {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -27,7 +27,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a worker that has crashed is down.
 pub(crate) const CRASH_TIME: Duration = Duration::from_millis(300);
-/// How many times a part of a flood is sent in one write.
+/// The size of a chunk of a body that never ends, in bytes.
+const FLOOD_CHUNK_BYTES: usize = 16 << 10;
+/// How many interim responses are sent in one write.
 const FLOOD_REPEATS: usize = 200;
 /// The latency, in percent, of a machine at normal speed.
 const NORMAL_PERCENT: u32 = 100;
@@ -481,10 +483,9 @@
 fn endless_body(response: &Response) -> Reply {
     let mut head = Vec::new();
     response.encode_head(&mut head, BodyCoding::Chunked);
-    Reply::Flood {
-        head,
-        part: b"10\r\n................\r\n".repeat(FLOOD_REPEATS),
-    }
+    let mut part = Vec::new();
+    BodyCoding::Chunked.encode_part(&mut part, &[b'.'; FLOOD_CHUNK_BYTES]);
+    Reply::Flood { head, part }
 }
 
 /// Returns whether the other end has closed the connection.
