At most 32 interim responses precede a response

Cause: interim responses were skipped one by one for as long as they came. Test of the reader: 33 of them were skipped before, an error now; the count begins anew with each response. The same reader serves the store's connections.

--- a/crates/wire/src/response_reader.rs
+++ b/crates/wire/src/response_reader.rs
@@ -4,6 +4,9 @@
     limits::MAX_HEADERS,
 };
 
+/// How many interim responses may precede a response.
+const MAX_INTERIM: u32 = 32;
+
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
@@ -29,6 +32,8 @@
 pub struct ResponseReader {
     /// Received bytes that aren't decoded yet.
     buf: Vec<u8>,
+    /// The interim responses since the last final one.
+    interim: u32,
     limits: Limits,
     /// The response whose body is incomplete.
     partial: Option<(Response, BodyReader)>,
@@ -39,6 +44,7 @@
     pub fn new(limits: Limits) -> Self {
         Self {
             buf: Vec::new(),
+            interim: 0,
             limits,
             partial: None,
         }
@@ -54,8 +60,8 @@
         self.partial.is_some() || !self.buf.is_empty()
     }
 
-    /// Returns the next final response, or `None` if it is still incomplete. Interim (1xx)
-    /// responses are skipped. `to_head` says that the request's method was HEAD.
+    /// Returns the next final response, or `None` if it is still incomplete. Up to 32 interim (1xx)
+    /// responses before each are skipped. `to_head` says that the request's method was HEAD.
     ///
     /// # Errors
     /// Fails with any [`WireError`] but `Truncated`. The reader must not be used afterwards.
@@ -65,8 +71,13 @@
                 return Ok(None);
             };
             if response.status / 100 == 1 {
+                self.interim += 1;
+                if self.interim > MAX_INTERIM {
+                    return Err(WireError::HeadLimit);
+                }
                 continue;
             }
+            self.interim = 0;
             let framing = framing(&response, to_head)?;
             let body = BodyReader::new(framing, self.limits.body_bytes)?;
             self.partial = Some((response, body));
--- a/crates/wire/tests/responses.rs
+++ b/crates/wire/tests/responses.rs
@@ -45,6 +45,24 @@
     assert_eq!(response.status, 200);
 }
 
+/// Guards against interim responses without end, which are no response.
+#[test]
+fn a_response_after_more_interim_ones_than_any_worker_sends_is_an_error() {
+    let interim = b"HTTP/1.1 102 Processing\r\n\r\n";
+    let end = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let few = [&interim.repeat(32)[..], end].concat();
+    // The count begins anew after each response.
+    let mut twice = reader(&few.repeat(2));
+    for _ in 0..2 {
+        assert!(matches!(twice.next_response(false), Ok(Some(_))));
+    }
+    let many = [&interim.repeat(33)[..], end].concat();
+    assert_eq!(
+        reader(&many).next_response(false),
+        Err(WireError::HeadLimit)
+    );
+}
+
 #[test]
 fn a_response_without_a_length_is_complete_only_after_an_orderly_close() {
     let bytes = b"HTTP/1.1 200 OK\r\n\r\nabc";
