A caller that takes none of its responses is read no further

Cause: responses to pipelined requests pile up for a caller that sends on and reads nothing; nothing bounded them. Change: no more of a connection is read while 128 requests await their responses or 2 MiB are unsent; its close is then seen only once it is read again, or by a reset.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -85,6 +85,8 @@
     pub(crate) held_since: Option<Time>,
     /// When the first bytes of an incomplete request arrived; `None` if there are none.
     pub(crate) partial_since: Option<Time>,
+    /// Whether reading was put off until the caller has taken more of its responses.
+    pub(crate) paused: bool,
     pub(crate) reader: RequestReader,
     /// The responses that are not sent yet, in the order of their requests.
     pub(crate) pipeline: VecDeque<PendingResponse>,
@@ -112,6 +114,7 @@
             closing: false,
             held_since: None,
             partial_since: None,
+            paused: false,
             reader: RequestReader::new(Limits {
                 body_bytes: limits.body_bytes,
                 head_bytes: limits.head_bytes,
@@ -285,6 +288,7 @@
         }
         self.update_caller_timer(now, conn_key);
         self.resume_relay(now, conn_key);
+        self.resume_caller(conn_key);
     }
 
     /// Sets the timer for the rest of a request, or for the next request.
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -124,6 +124,9 @@
     /// that sends without end has a share of the turns only.
     pub(crate) fn read_conn(&mut self, now: Time, conn_key: usize) {
         if self.is_reading_paused(conn_key) {
+            if let Some(caller) = self.caller_conn(conn_key) {
+                caller.paused = true;
+            }
             return;
         }
         let Some(conn) = self.conns.get_mut(conn_key) else {
@@ -150,6 +153,21 @@
         }
     }
 
+    /// Reads a caller's connection again, if it was paused, once its caller has taken enough.
+    pub(crate) fn resume_caller(&mut self, conn_key: usize) {
+        if self.is_reading_paused(conn_key) {
+            return;
+        }
+        let Some(conn) = self.conns.get_mut(conn_key) else {
+            return;
+        };
+        if let ConnKind::Caller(caller) = &mut conn.kind
+            && std::mem::take(&mut caller.paused)
+        {
+            self.unread.push_back((conn_key, conn.serial));
+        }
+    }
+
     /// Goes on with the connections of which there was more to read, each once.
     pub(crate) fn read_rest(&mut self, now: Time) {
         for (conn_key, serial) in std::mem::take(&mut self.unread) {
--- a/crates/daemon/src/relays.rs
+++ b/crates/daemon/src/relays.rs
@@ -21,6 +21,12 @@
     wire::BodyCoding,
 };
 
+/// How many requests of a caller may await their responses until no more are read.
+const MAX_PIPELINED: usize = 128;
+/// How much a caller may leave unread until no more of its requests are read, in bytes. More than the
+/// longest response that is kept whole.
+const MAX_UNSENT_BYTES: usize = 2 << 20;
+
 /// A response that is being passed on to its caller.
 #[derive(Debug)]
 pub(crate) struct RelayedResponse {
@@ -158,8 +164,8 @@
         }
     }
 
-    /// Whether a worker's connection is not to be read for now, since the caller of its response is
-    /// slow.
+    /// Whether a connection is not to be read for now: a worker's since the caller of its response is
+    /// slow, a caller's since it hasn't taken what it asked for before.
     pub(crate) fn is_reading_paused(&self, conn_key: usize) -> bool {
         let Some(conn) = self.conns.get(conn_key) else {
             return false;
@@ -169,6 +175,10 @@
                 WorkerPhase::Relaying(call) => self.is_relay_paused(call),
                 _ => false,
             },
+            ConnKind::Caller(caller) => {
+                caller.pipeline.len() >= MAX_PIPELINED
+                    || conn.channel.unsent_len() >= MAX_UNSENT_BYTES
+            }
             _ => false,
         }
     }
--- a/crates/daemon/tests/failures/floods.rs
+++ b/crates/daemon/tests/failures/floods.rs
@@ -10,7 +10,7 @@
         io::{Read, Write},
         net::{Shutdown, TcpStream},
         thread::{self, JoinHandle},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -119,3 +119,20 @@
         "Trailer: value\r\n",
     );
 }
+
+/// Guards against responses that pile up for a caller that sends requests and reads nothing.
+#[test]
+fn a_caller_that_reads_nothing_costs_bounded_memory() {
+    /// What a daemon may need, in bytes.
+    const MAX_MEMORY: u64 = 64 << 20;
+    let fleet = start_fleet();
+    let mut conn = connect(&fleet);
+    conn.set_write_timeout(Some(Duration::from_millis(500)))
+        .expect("a timeout");
+    let part = get("/nowhere/", "flood", false).repeat(500);
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end && conn.write_all(part.as_bytes()).is_ok() {}
+    run_load_served(&fleet, &[0], 300);
+    let peak = fleet.peak_memory(0).expect("a running daemon");
+    assert!(peak <= MAX_MEMORY, "{peak} bytes");
+}
