--- a/crates/peer/tests/fleet/scale.rs
+++ b/crates/peer/tests/fleet/scale.rs
@@ -46,6 +46,13 @@
     assert!(bytes <= MAX_BYTES_PER_SECOND, "{bytes} bytes per second");
 }
 
+/// The site with 472 daemons in six data centres.
+#[test]
+fn heartbeat_traffic_at_the_large_site_stays_within_the_limit() {
+    let bytes = peak_traffic(472, 6) + limit_traffic();
+    assert!(bytes <= MAX_BYTES_PER_SECOND, "{bytes} bytes per second");
+}
+
 #[test]
 fn live_daemons_always_count_as_alive_when_gossip_is_delayed() {
     const SIZE: usize = 126;
