A response of the store has at most 4 MiB

Cause: 16 MiB a call, up to five calls at once, and buffers that double. The store sends 1 MB at most.

--- a/crates/daemon/src/store_conn.rs
+++ b/crates/daemon/src/store_conn.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         conn::ConnKind,
-        constants::{MAX_RESPONSE_BYTES, STORE_IDLE_TIMEOUT},
+        constants::STORE_IDLE_TIMEOUT,
         daemon::Daemon,
         log_event,
     },
@@ -17,6 +17,8 @@
 
 /// The value of the log field `source` for changes that came from the store itself.
 pub(crate) const STORE_SOURCE: &str = "store";
+/// The maximum body size of a response of the store, in bytes: four times what it sends at the most.
+const MAX_BODY_BYTES: usize = 4 << 20;
 /// How long a newly registered daemon sends nothing to cold workers. Until the other daemons know
 /// of it, they don't count it among those that share the limit of cold workers.
 const JOIN_DELAY: Span = Span::secs(3);
@@ -150,7 +152,7 @@
         let kind = ConnKind::Store(StoreConn {
             call: None,
             reader: ResponseReader::new(Limits {
-                body_bytes: MAX_RESPONSE_BYTES,
+                body_bytes: MAX_BODY_BYTES,
                 ..Limits::default()
             }),
         });
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -11,13 +11,15 @@
         thread::{self, JoinHandle},
         time::Duration,
     },
-    wire::{Limits, Request, RequestReader, Response},
+    wire::{BodyCoding, Limits, Request, RequestReader, Response},
 };
 
 /// Bytes read at a time.
 const CHUNK_SIZE: usize = 16 << 10;
 /// The pause between two tries to listen again after a crash.
 const BIND_RETRY: Duration = Duration::from_millis(5);
+/// The size of a chunk of a body that never ends, in bytes.
+pub(crate) const FLOOD_CHUNK_BYTES: usize = 16 << 10;
 /// The largest request body accepted, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -43,6 +45,15 @@
     Hang,
 }
 
+/// A response with this one's headers and a body in chunks that never ends.
+pub(crate) fn endless_body(response: &Response) -> Reply {
+    let mut head = Vec::new();
+    response.encode_head(&mut head, BodyCoding::Chunked);
+    let mut part = Vec::new();
+    BodyCoding::Chunked.encode_part(&mut part, &[b'.'; FLOOD_CHUNK_BYTES]);
+    Reply::Flood { head, part }
+}
+
 /// Handles a request; the stream is that of its connection.
 pub(crate) type Handler = dyn Fn(&Request, &TcpStream) -> Reply + Send + Sync;
 
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -4,7 +4,7 @@
 mod state;
 
 use {
-    crate::server::{Reply, Server},
+    crate::server::{Reply, Server, endless_body},
     platform::standin::{
         ReceivedCall, config_key, evacuation_kind, events_response, read_store_call, set_era,
         worker_kind, worker_spec,
@@ -32,6 +32,8 @@
     Unavailable,
     /// Closes every connection without a response.
     Closes,
+    /// Sends a response whose body never ends.
+    Floods,
     /// Never responds.
     Hangs,
     /// Executes each call after this delay; watches are closed without a response.
@@ -213,6 +215,7 @@
         match fault {
             StoreFault::Unavailable => return Reply::Response(Response::new(503)),
             StoreFault::Closes => return Reply::Close,
+            StoreFault::Floods => return endless_body(&Response::new(200)),
             StoreFault::Hangs => return Reply::Hang,
             StoreFault::Slow(delay) => thread::sleep(delay),
             StoreFault::None => {}
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         execution_log::{Answer, Arrival, Execution, ExecutionLog},
-        server::{Reply, Server},
+        server::{FLOOD_CHUNK_BYTES, Reply, Server, endless_body},
     },
     platform::standin::{
         add_notice, health_response, misdirected_response, not_run_response, read_forwarded_head,
@@ -18,7 +18,7 @@
         time::{Duration, Instant},
     },
     unit::{Name, Rate, Span},
-    wire::{BodyCoding, Request, Response},
+    wire::{Request, Response},
 };
 
 /// The maximum number of requests waiting for a slot.
@@ -27,8 +27,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a worker that has crashed is down.
 pub(crate) const CRASH_TIME: Duration = Duration::from_millis(300);
-/// The size of a chunk of a body that never ends, in bytes.
-const FLOOD_CHUNK_BYTES: usize = 16 << 10;
 /// How many interim responses are sent in one write.
 const FLOOD_REPEATS: usize = 200;
 /// The latency, in percent, of a machine at normal speed.
@@ -46,6 +44,8 @@
     ExtraResponse,
     /// Sends a signed response whose body never ends.
     FloodsBody,
+    /// Sends bytes without end after each complete response.
+    FloodsIdle,
     /// Sends interim responses without end in place of a response.
     FloodsInterim,
     /// Sends a response without end to health probes.
@@ -440,6 +440,12 @@
         add_notice(&mut response.headers, notice);
         match fault {
             WorkerFault::FloodsBody => endless_body(&response),
+            WorkerFault::FloodsIdle => {
+                let mut head = Vec::new();
+                response.encode(&mut head, false);
+                let part = vec![b'.'; FLOOD_CHUNK_BYTES];
+                Reply::Flood { head, part }
+            }
             WorkerFault::FloodsInterim => Reply::Flood {
                 head: Vec::new(),
                 part: b"HTTP/1.1 102 Processing\r\n\r\n".repeat(FLOOD_REPEATS),
@@ -479,15 +485,6 @@
     }
 }
 
-/// A response with this one's headers and a body in chunks that never ends.
-fn endless_body(response: &Response) -> Reply {
-    let mut head = Vec::new();
-    response.encode_head(&mut head, BodyCoding::Chunked);
-    let mut part = Vec::new();
-    BodyCoding::Chunked.encode_part(&mut part, &[b'.'; FLOOD_CHUNK_BYTES]);
-    Reply::Flood { head, part }
-}
-
 /// Returns whether the other end has closed the connection.
 fn is_closed(conn: &TcpStream) -> bool {
     if conn.set_nonblocking(true).is_err() {
