A fetch's connection answers one request; what follows is dropped

Cause: one frame was decoded for each read, so that what was sent behind the first one piled up, and each frame was answered. Daemons send one request a connection.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -32,6 +32,8 @@
 /// A connection on which another daemon fetches site changes from this one.
 #[derive(Debug)]
 pub(crate) struct FetchServerConn {
+    /// Whether the request was answered; what follows it is dropped.
+    answered: bool,
     codec: FrameCodec,
 }
 
@@ -165,6 +167,7 @@
     /// State for an accepted connection on which another daemon fetches.
     pub(crate) fn new_fetch_server() -> ConnKind {
         ConnKind::FetchServer(FetchServerConn {
+            answered: false,
             codec: FrameCodec::default(),
         })
     }
@@ -183,9 +186,26 @@
         let ConnKind::FetchServer(server) = &mut conn.kind else {
             return;
         };
-        server.codec.push(bytes);
+        if !server.answered {
+            server.codec.push(bytes);
+            self.answer_fetch(now, conn_key);
+        }
+        if ending.is_some() {
+            self.remove_conn(conn_key);
+        }
+    }
+
+    /// Answers a fetch once its request has arrived.
+    fn answer_fetch(&mut self, now: Time, conn_key: usize) {
+        let Some(conn) = self.conns.get_mut(conn_key) else {
+            return;
+        };
+        let ConnKind::FetchServer(server) = &mut conn.kind else {
+            return;
+        };
         match server.codec.decode::<FetchRequest>() {
             Ok(Some(request)) => {
+                server.answered = true;
                 let changes = self.view.changes_since(&request.revs);
                 match FrameCodec::encode(&changes) {
                     Ok(out) => {
@@ -198,9 +218,6 @@
             Ok(None) => {}
             Err(error) => self.reject_peer(now, conn_key, &error.to_string()),
         }
-        if ending.is_some() {
-            self.remove_conn(conn_key);
-        }
     }
 
     /// Handles bytes that arrived on a connection on which this daemon fetches, and its end.
--- a/crates/daemon/src/store_conn.rs
+++ b/crates/daemon/src/store_conn.rs
@@ -1,12 +1,7 @@
 //! Connections to the platform's store.
 
 use {
-    crate::{
-        conn::ConnKind,
-        constants::STORE_IDLE_TIMEOUT,
-        daemon::Daemon,
-        log_event,
-    },
+    crate::{conn::ConnKind, constants::STORE_IDLE_TIMEOUT, daemon::Daemon, log_event},
     platform::{MemberEntry, StoreCall, encode_call},
     serde_json::json,
     site::Rev,
--- a/crates/daemon/tests/failures/floods.rs
+++ b/crates/daemon/tests/failures/floods.rs
@@ -5,7 +5,9 @@
         callers::{connect, get},
         support::{run_load_served, start_fleet},
     },
-    standin::{Fleet, WorkerFault},
+    peer::{FetchRequest, FrameCodec},
+    site::Revs,
+    standin::{Fleet, StoreFault, WorkerFault},
     std::{
         io::{Read, Write},
         net::{Shutdown, TcpStream},
@@ -14,6 +16,9 @@
     },
 };
 
+/// What a daemon may need, in bytes.
+const MAX_MEMORY: u64 = 64 << 20;
+
 /// Reads and drops all that arrives on a connection, in a thread of its own.
 fn discard(conn: &TcpStream) -> JoinHandle<()> {
     let mut conn = conn.try_clone().expect("a second handle");
@@ -67,8 +72,6 @@
 /// Guards against responses to probes that fill the daemon's memory, too.
 #[test]
 fn others_are_served_beside_responses_to_probes_without_end() {
-    /// What a daemon may need, in bytes.
-    const MAX_MEMORY: u64 = 64 << 20;
     let fleet = start_fleet();
     fleet.workers[0].set_fault(WorkerFault::FloodsProbes);
     run_load_served(&fleet, &[0], 1_000);
@@ -76,6 +79,47 @@
     assert!(peak <= MAX_MEMORY, "{peak} bytes");
 }
 
+#[test]
+fn others_are_served_beside_bytes_without_end_on_idle_connections() {
+    others_are_served_beside(WorkerFault::FloodsIdle);
+}
+
+/// Guards against responses of the store that fill the daemons' memory, too.
+#[test]
+fn callers_are_served_beside_responses_of_the_store_without_end() {
+    let fleet = start_fleet();
+    fleet.store.set_fault(StoreFault::Floods);
+    run_load_served(&fleet, &[0, 1, 2, 3], 3_000);
+    for at in 0..fleet.size() {
+        let peak = fleet.peak_memory(at).expect("a running daemon");
+        assert!(peak <= MAX_MEMORY, "{peak} bytes");
+    }
+}
+
+/// Guards against requests of another daemon, or of a stranger, that pile up.
+#[test]
+fn callers_are_served_beside_requests_for_changes_without_end() {
+    let fleet = start_fleet();
+    let mut address = fleet.address(0);
+    // The internal port.
+    address.set_port(address.port() + 4);
+    let mut conn = TcpStream::connect(address).expect("the daemon listens");
+    discard(&conn);
+    let request = FetchRequest {
+        revs: Revs::default(),
+    };
+    let frame = FrameCodec::encode(&request).expect("a small frame");
+    let flood = thread::spawn(move || {
+        let part = frame.repeat(2_000);
+        let end = Instant::now() + Duration::from_secs(8);
+        while Instant::now() < end && conn.write_all(&part).is_ok() {}
+    });
+    run_load_served(&fleet, &[0], 1_000);
+    flood.join().expect("the flood ends");
+    let peak = fleet.peak_memory(0).expect("a running daemon");
+    assert!(peak <= MAX_MEMORY, "{peak} bytes");
+}
+
 /// Asserts that a daemon serves all other callers while one sends `head` and then `part` again and
 /// again.
 fn others_are_served_beside_caller(head: &str, part: &str) {
@@ -123,8 +167,6 @@
 /// Guards against responses that pile up for a caller that sends requests and reads nothing.
 #[test]
 fn a_caller_that_reads_nothing_costs_bounded_memory() {
-    /// What a daemon may need, in bytes.
-    const MAX_MEMORY: u64 = 64 << 20;
     let fleet = start_fleet();
     let mut conn = connect(&fleet);
     conn.set_write_timeout(Some(Duration::from_millis(500)))
