Names: what is served clears a request; pauses of reading stand where connections are read

No behaviour changes: record_served and served_at in place of record_response and answered_at, since only a success counts; is_reading_paused and its limits move from relays to io_events, as they concern callers, too.

--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -49,7 +49,7 @@
         let fingerprint = call.fingerprint;
         match report.ending {
             // A worker's error response, as at the deadline, doesn't show that the request may be run.
-            AttemptEnding::Served => self.crash_log.record_response(now, fingerprint),
+            AttemptEnding::Served => self.crash_log.record_served(now, fingerprint),
             AttemptEnding::Lost => self.check_worker(&attempt, fingerprint),
             _ => {}
         }
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -8,6 +8,7 @@
         daemon::Daemon,
         listeners::{FIRST_CONN_TOKEN, ListenerKind, UDP_TOKEN},
         log_event,
+        workers::WorkerPhase,
     },
     mio::{Token, net::TcpStream},
     peer::HEARTBEAT_PERIOD,
@@ -17,6 +18,12 @@
     wire::ConnectionEnd,
 };
 
+/// How many requests of a caller may await their responses until no more are read.
+const MAX_PIPELINED: usize = 128;
+/// How much a caller may leave unread until no more of its requests are read, in bytes. More than the
+/// longest response that is kept whole.
+const MAX_UNSENT_BYTES: usize = 2 << 20;
+
 impl Daemon {
     /// Handles the readiness of the socket with this token.
     pub(crate) fn handle_io_event(&mut self, now: Time, token: Token, writable: bool) {
@@ -153,6 +160,25 @@
         }
     }
 
+    /// Whether a connection is not to be read for now: a worker's since the caller of its response is
+    /// slow, a caller's since it hasn't taken what it asked for before.
+    pub(crate) fn is_reading_paused(&self, conn_key: usize) -> bool {
+        let Some(conn) = self.conns.get(conn_key) else {
+            return false;
+        };
+        match &conn.kind {
+            ConnKind::Worker(worker) => match worker.phase {
+                WorkerPhase::Relaying(call) => self.is_relay_paused(call),
+                _ => false,
+            },
+            ConnKind::Caller(caller) => {
+                caller.pipeline.len() >= MAX_PIPELINED
+                    || conn.channel.unsent_len() >= MAX_UNSENT_BYTES
+            }
+            _ => false,
+        }
+    }
+
     /// Reads a caller's connection again, if it was paused, once its caller has taken enough.
     pub(crate) fn resume_caller(&mut self, conn_key: usize) {
         if self.is_reading_paused(conn_key) {
--- a/crates/daemon/src/relays.rs
+++ b/crates/daemon/src/relays.rs
@@ -21,12 +21,6 @@
     wire::BodyCoding,
 };
 
-/// How many requests of a caller may await their responses until no more are read.
-const MAX_PIPELINED: usize = 128;
-/// How much a caller may leave unread until no more of its requests are read, in bytes. More than the
-/// longest response that is kept whole.
-const MAX_UNSENT_BYTES: usize = 2 << 20;
-
 /// A response that is being passed on to its caller.
 #[derive(Debug)]
 pub(crate) struct RelayedResponse {
@@ -164,25 +158,6 @@
         }
     }
 
-    /// Whether a connection is not to be read for now: a worker's since the caller of its response is
-    /// slow, a caller's since it hasn't taken what it asked for before.
-    pub(crate) fn is_reading_paused(&self, conn_key: usize) -> bool {
-        let Some(conn) = self.conns.get(conn_key) else {
-            return false;
-        };
-        match &conn.kind {
-            ConnKind::Worker(worker) => match worker.phase {
-                WorkerPhase::Relaying(call) => self.is_relay_paused(call),
-                _ => false,
-            },
-            ConnKind::Caller(caller) => {
-                caller.pipeline.len() >= MAX_PIPELINED
-                    || conn.channel.unsent_len() >= MAX_UNSENT_BYTES
-            }
-            _ => false,
-        }
-    }
-
     /// Handles the timer of a worker's connection whose response is passed on.
     pub(crate) fn relay_timeout(&mut self, now: Time, call: CallId) {
         let Some(response) = self.relays.get(&call) else {
@@ -280,7 +255,8 @@
         }
     }
 
-    fn is_relay_paused(&self, call: CallId) -> bool {
+    /// Whether a response is not to be read further for now, since its caller is slow.
+    pub(crate) fn is_relay_paused(&self, call: CallId) -> bool {
         let response = self.relays.get(&call);
         response.is_some_and(|response| response.relay.is_paused())
     }
--- a/crates/poison/src/crash_log.rs
+++ b/crates/poison/src/crash_log.rs
@@ -40,12 +40,12 @@
 #[derive(Clone, Debug, Default)]
 struct Record {
     /// When a worker last served the request; no crash before that is kept.
-    answered_at: Option<Time>,
+    served_at: Option<Time>,
     /// Whether it is barred until [`BAR`] after its last crash.
     barred: bool,
     /// The crashes, at most one of each process run and at most [`MAX_KEPT`].
     crashes: Vec<Crash>,
-    /// When this daemon learned of the response.
+    /// When this daemon learned that it was served.
     learned_at: Time,
 }
 
@@ -119,7 +119,7 @@
     }
 
     /// Records that a worker served a request, which therefore doesn't crash each worker.
-    pub fn record_response(&mut self, now: Time, request: Fingerprint) {
+    pub fn record_served(&mut self, now: Time, request: Fingerprint) {
         let now = now + HORIZON;
         if self.records.contains_key(&request) {
             self.clear(now, now, request);
@@ -139,18 +139,18 @@
         }
     }
 
-    /// What to tell other daemons: at most `max` pieces of news, responses first, then of the requests
-    /// with the most crashes, then what was told least.
+    /// What to tell other daemons: at most `max` pieces of news, first which requests were served, then
+    /// of those with the most crashes, then what was told least.
     pub fn news(&mut self, now: Time, max: usize) -> Vec<CrashNews> {
         let now = now + HORIZON;
         let is_new = |learned_at: Time| now.since(learned_at) < NEWS_LIFE;
-        let mut responses = Vec::new();
+        let mut news = Vec::new();
         let mut crashes: Vec<(usize, Fingerprint, &mut Crash)> = Vec::new();
         for (request, record) in &mut self.records {
-            if let Some(at) = record.answered_at
+            if let Some(at) = record.served_at
                 && is_new(record.learned_at)
             {
-                responses.push(told(now, *request, at, None));
+                news.push(news_at(now, *request, at, None));
             }
             let count = record.crashes.len();
             let new = record.crashes.iter_mut();
@@ -158,13 +158,13 @@
             crashes.extend(new.map(|crash| (count, *request, crash)));
         }
         crashes.sort_by_key(|(count, _, crash)| (Reverse(*count), crash.told));
-        responses.truncate(max);
-        crashes.truncate(max - responses.len());
+        news.truncate(max);
+        crashes.truncate(max - news.len());
         for (_, request, crash) in crashes {
             crash.told += 1;
-            responses.push(told(now, request, crash.at, Some(crash.run)));
+            news.push(news_at(now, request, crash.at, Some(crash.run)));
         }
-        responses
+        news
     }
 
     /// The crashes of one barred request, the `turn`th in an order that doesn't matter, for daemons
@@ -187,7 +187,7 @@
             return Vec::new();
         };
         [first, middle, last]
-            .map(|crash| told(now + HORIZON, **request, crash.at, Some(crash.run)))
+            .map(|crash| news_at(now + HORIZON, **request, crash.at, Some(crash.run)))
             .into()
     }
 
@@ -195,7 +195,7 @@
     pub fn prune(&mut self, now: Time) {
         let now = now + HORIZON;
         self.records.retain(|_, record| {
-            let last = record.last_crash().max(record.answered_at);
+            let last = record.last_crash().max(record.served_at);
             let life = if record.barred { BAR } else { CRASH_LIFE };
             last.is_some_and(|at| now.since(at) < life)
         });
@@ -212,9 +212,9 @@
         }
         self.make_room(request);
         let record = self.records.entry(request).or_default();
-        let answered = record.answered_at.is_some_and(|answered| answered >= at);
+        let served = record.served_at.is_some_and(|served| served >= at);
         let known = record.crashes.iter().any(|crash| crash.run == run);
-        if answered || known || record.crashes.len() >= MAX_KEPT {
+        if served || known || record.crashes.len() >= MAX_KEPT {
             return false;
         }
         if !record.barred {
@@ -251,15 +251,15 @@
         }
     }
 
-    /// Drops all that was held against a request before a response at `at`.
+    /// Drops all that was held against a request before it was served at `at`.
     fn clear(&mut self, now: Time, at: Time, request: Fingerprint) {
         let Some(record) = self.records.get_mut(&request) else {
             return;
         };
-        if record.answered_at.is_some_and(|answered| answered >= at) {
+        if record.served_at.is_some_and(|served| served >= at) {
             return;
         }
-        record.answered_at = Some(at);
+        record.served_at = Some(at);
         record.learned_at = now;
         record.crashes.retain(|crash| crash.at > at);
         record.barred &= record.counted().len() >= MAX_CRASHES;
@@ -280,7 +280,7 @@
 }
 
 /// News of a request, about what happened at `at`.
-fn told(now: Time, request: Fingerprint, at: Time, run: Option<u32>) -> CrashNews {
+fn news_at(now: Time, request: Fingerprint, at: Time, run: Option<u32>) -> CrashNews {
     CrashNews {
         age: now.since(at),
         request,
--- a/crates/poison/tests/crash_log.rs
+++ b/crates/poison/tests/crash_log.rs
@@ -58,14 +58,14 @@
     for run in 0..2 {
         crash(&mut log, 0, GUILTY, run);
     }
-    log.record_response(at(1), GUILTY);
+    log.record_served(at(1), GUILTY);
     crash(&mut log, 2, GUILTY, 2);
     assert_eq!(log.barred(at(3), GUILTY), None);
     for run in 3..5 {
         crash(&mut log, 2, GUILTY, run);
     }
     assert!(log.barred(at(3), GUILTY).is_some());
-    log.record_response(at(4), GUILTY);
+    log.record_served(at(4), GUILTY);
     assert_eq!(log.barred(at(4), GUILTY), None);
 }
 
@@ -108,7 +108,7 @@
         there.adopt(at(1), news);
     }
     assert!(there.barred(at(1), GUILTY).is_some());
-    here.record_response(at(2), GUILTY);
+    here.record_served(at(2), GUILTY);
     for news in here.news(at(2), 8) {
         there.adopt(at(2), news);
     }
