--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -12,6 +12,10 @@
     },
 };
 
+/// The head of a write whose body comes in chunks.
+pub(crate) const CHUNKED_HEAD: &str = "POST /payouts/1 HTTP/1.1\r\nHost: gallery.example\r\n\
+     Request-Id: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// Connects to the first daemon.
 pub(crate) fn connect(fleet: &Fleet) -> TcpStream {
     connect_to(fleet, 0)
--- a/crates/daemon/tests/failures/floods.rs
+++ b/crates/daemon/tests/failures/floods.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        callers::{connect, get},
+        callers::{CHUNKED_HEAD, connect, get},
         support::{run_load_served, start_fleet},
     },
     peer::{FetchRequest, FrameCodec},
@@ -148,20 +148,12 @@
 
 #[test]
 fn others_are_served_beside_chunk_extensions_without_end() {
-    others_are_served_beside_caller(
-        "POST /payouts/1 HTTP/1.1\r\nHost: gallery.example\r\nRequest-Id: x\r\n\
-         Transfer-Encoding: chunked\r\n\r\n",
-        "1;extension=value\r\nx\r\n",
-    );
+    others_are_served_beside_caller(CHUNKED_HEAD, "1;extension=value\r\nx\r\n");
 }
 
 #[test]
 fn others_are_served_beside_trailers_without_end() {
-    others_are_served_beside_caller(
-        "POST /payouts/1 HTTP/1.1\r\nHost: gallery.example\r\nRequest-Id: x\r\n\
-         Transfer-Encoding: chunked\r\n\r\n0\r\n",
-        "Trailer: value\r\n",
-    );
+    others_are_served_beside_caller(&format!("{CHUNKED_HEAD}0\r\n"), "Trailer: value\r\n");
 }
 
 /// Guards against responses that pile up for a caller that sends requests and reads nothing.
