--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,6 +19,7 @@
 mod soak;
 mod store;
 mod upstream;
+mod worker_fault;
 
 pub use {
     caller::{Caller, RequestResult},
@@ -35,5 +36,6 @@
     slow_callers::SlowCallers,
     soak::{Soak, SoakReport},
     store::{Store, StoreFault},
-    upstream::{Upstream, WorkerFault},
+    upstream::Upstream,
+    worker_fault::WorkerFault,
 };
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{proxy::ProxyFault, store::StoreFault, upstream::WorkerFault},
+    crate::{proxy::ProxyFault, store::StoreFault, worker_fault::WorkerFault},
     fastrand::Rng,
     std::time::Duration,
 };
--- a/crates/standin/src/soak/injection.rs
+++ b/crates/standin/src/soak/injection.rs
@@ -11,7 +11,8 @@
             runner::{ActiveFault, CENTRES, Runner, WORK_TIME},
         },
         store::StoreFault,
-        upstream::{Upstream, WorkerFault},
+        upstream::Upstream,
+        worker_fault::WorkerFault,
     },
     nix::sys::signal::Signal,
     std::{
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         execution_log::{Answer, Arrival, Execution, ExecutionLog},
-        server::{FLOOD_CHUNK_BYTES, Reply, Server, endless_body},
+        server::{Reply, Server, endless_body},
+        worker_fault::WorkerFault,
     },
     platform::standin::{
         add_notice, health_response, misdirected_response, not_run_response, read_forwarded_head,
@@ -27,42 +28,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a worker that has crashed is down.
 pub(crate) const CRASH_TIME: Duration = Duration::from_millis(300);
-/// How many interim responses are sent in one write.
-const FLOOD_REPEATS: usize = 200;
 /// The latency, in percent, of a machine at normal speed.
 const NORMAL_PERCENT: u32 = 100;
 
-/// The fault of a worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum WorkerFault {
-    /// Runs requests and responds to them with status 500.
-    Errors,
-    /// Sends a refusal that names no request ahead of each response, after running the request.
-    ExtraRefusal,
-    /// Sends an extra response, with the id of the request that ended before, ahead of each
-    /// response.
-    ExtraResponse,
-    /// Sends a signed response whose body never ends.
-    FloodsBody,
-    /// Sends bytes without end after each complete response.
-    FloodsIdle,
-    /// Sends interim responses without end in place of a response.
-    FloodsInterim,
-    /// Sends a response without end to health probes.
-    FloodsProbes,
-    /// Runs requests and never responds.
-    Hangs,
-    /// Works normally.
-    #[default]
-    None,
-    /// Runs requests and closes the connection without a response.
-    Resets,
-    /// Takes this many times as long as usual, without reporting it.
-    Slow(u32),
-    /// Sends responses without their last byte.
-    Truncates,
-}
-
 /// How the execution of a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WorkResult {
@@ -438,50 +406,13 @@
         response.body.resize(length, b'.');
         sign_response(&mut response, id, load);
         add_notice(&mut response.headers, notice);
-        match fault {
-            WorkerFault::FloodsBody => endless_body(&response),
-            WorkerFault::FloodsIdle => {
-                let mut head = Vec::new();
-                response.encode(&mut head, false);
-                let part = vec![b'.'; FLOOD_CHUNK_BYTES];
-                Reply::Flood { head, part }
-            }
-            WorkerFault::FloodsInterim => Reply::Flood {
-                head: Vec::new(),
-                part: b"HTTP/1.1 102 Processing\r\n\r\n".repeat(FLOOD_REPEATS),
-            },
-            WorkerFault::Errors
-            | WorkerFault::FloodsProbes
-            | WorkerFault::None
-            | WorkerFault::Slow(_) => Reply::Response(response),
-            WorkerFault::ExtraResponse => {
-                let mut extra = Response::new(200);
-                extra.body = b"late".to_vec();
-                sign_response(
-                    &mut extra,
-                    &last_request.unwrap_or_else(|| "none".to_owned()),
-                    load,
-                );
-                let mut bytes = Vec::new();
-                extra.encode(&mut bytes, false);
-                response.encode(&mut bytes, false);
-                Reply::RawBytes(bytes)
-            }
-            WorkerFault::ExtraRefusal => {
-                let mut bytes = Vec::new();
-                not_run_response(None).encode(&mut bytes, false);
-                response.encode(&mut bytes, false);
-                Reply::RawBytes(bytes)
-            }
-            WorkerFault::Hangs => Reply::Hang,
-            WorkerFault::Resets => Reply::Close,
-            WorkerFault::Truncates => {
-                let mut bytes = Vec::new();
-                response.encode(&mut bytes, false);
-                bytes.pop();
-                Reply::RawBytes(bytes)
-            }
-        }
+        fault.reply(&response, || {
+            let mut extra = Response::new(200);
+            extra.body = b"late".to_vec();
+            let id = last_request.as_deref().unwrap_or("none");
+            sign_response(&mut extra, id, load);
+            extra
+        })
     }
 }
 
