Daemons say when they are cut off from all workers of a service, and how probes fail

Change: crate forward with Reach (cut off once half of a service's workers, three to eight, have failed one after the other for 0.3 s and none responded), fed by probes, attempts and late responses; events 310, 311; anvilferry_probe_failures_total by broken, late, no-connection. Nothing is decided by it yet.

--- a/crates/call/src/candidates.rs
+++ b/crates/call/src/candidates.rs
@@ -29,6 +29,7 @@
         probe: Probe,
         health: &HealthReport,
     ) {
+        self.note_reached(probe.worker);
         let Some(record) = self.table.get(probe.worker) else {
             self.close_link(probe.link);
             self.select_worker(now, id);
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -109,6 +109,9 @@
         }
         if report.ending == AttemptEnding::Lost || report.ending == AttemptEnding::Unsent {
             self.table.record_unreachable(attempt.worker, now);
+            self.note_failed(now, attempt.worker);
+        } else {
+            self.note_reached(attempt.worker);
         }
         self.table
             .record_outcome(attempt.worker, now, outcome, attempt.expected);
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -4,9 +4,11 @@
         NoticeChange, Policy, ProbeFailure,
         call::{Call, Candidate},
         crashes::{Check, WorkerCrash},
+        reaching::ReachChange,
         split::Split,
     },
     fastrand::Rng,
+    forward::Reach,
     limit::RetryBudget,
     pick::{LatencyEstimate, LimitNews, NoticeSource, WorkerKey, WorkerTable},
     poison::{CrashLog, CrashNews},
@@ -38,6 +40,10 @@
     /// The decisions that [`Self::take_decisions`] has not yet returned.
     pub(crate) decisions: Vec<DecisionRecord>,
     pub(crate) policy: Policy,
+    /// The changes that [`Self::take_reach_changes`] has not yet returned.
+    pub(crate) reach_changes: Vec<ReachChange>,
+    /// Whether this daemon reaches the workers of each service that has failed it.
+    pub(crate) reaches: Map<Name, Reach>,
     /// This daemon's share of the limit on retries and hedges, by the service's name.
     pub(crate) retry_budgets: Map<Name, RetryBudget>,
     pub(crate) rng: Rng,
@@ -70,6 +76,8 @@
             next_link: 0,
             decisions: Vec::new(),
             policy,
+            reach_changes: Vec::new(),
+            reaches: Map::default(),
             retry_budgets: Map::default(),
             rng,
             splits: Map::default(),
@@ -96,6 +104,8 @@
                 *lowest = route.priority.max(*lowest);
             }
         }
+        self.reaches
+            .retain(|name, _| config.services.contains_key(name));
         self.splits.retain(|name, _| routes.contains(name));
         self.latency_estimates
             .retain(|name, _| routes.contains(name));
@@ -127,7 +137,10 @@
             CallEvent::CheckEnded(link, liveness) => self.check_ended(now, link, liveness),
             CallEvent::ConnectEnded(link, result) => self.connect_ended(now, link, result),
             CallEvent::Tick => self.run_timers(now),
-            CallEvent::LateHealth(worker, health) => self.record_health(now, worker, &health),
+            CallEvent::LateHealth(worker, health) => {
+                self.note_reached(worker);
+                self.record_health(now, worker, &health);
+            }
         }
         std::mem::take(&mut self.actions)
     }
@@ -210,6 +223,7 @@
             self.links.remove(&probe.link);
             self.actions.push(CallAction::AbandonProbe(probe.link));
             self.table.record_unreachable(probe.worker, now);
+            self.note_failed(now, probe.worker);
             self.record_skip(now, id, probe.worker, Some(ProbeFailure::TimedOut), None);
             self.select_worker(now, id);
             return;
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -18,6 +18,7 @@
 mod id;
 mod notice_change;
 mod policy;
+mod reaching;
 mod relay;
 mod selection;
 mod sending;
@@ -34,6 +35,7 @@
     id::{CallId, LinkId},
     notice_change::NoticeChange,
     policy::Policy,
+    reaching::ReachChange,
     relay::{Relay, RelayFailure, keeps_whole},
     startup_hold::StartupHold,
 };
--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -249,6 +249,7 @@
                 self.links.remove(&link);
                 if failure != ProbeFailure::NoConnection {
                     self.table.record_unreachable(probe.worker, now);
+                    self.note_failed(now, probe.worker);
                 }
                 self.record_skip(now, id, probe.worker, Some(failure), None);
                 self.select_worker(now, id);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -332,6 +332,7 @@
             self.log_decisions(now);
             self.log_notice_changes(now);
             self.log_crashes(now);
+            self.log_reach_changes(now);
             for action in actions {
                 self.perform(now, action);
             }
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -45,6 +45,8 @@
     307 WORKER_NOTICE "worker-notice";
     308 WORKER_CRASHED "worker-crashed";
     309 REQUEST_BARRED "request-barred";
+    310 WORKERS_UNREACHED "workers-unreached";
+    311 WORKERS_REACHED "workers-reached";
     400 SENT "sent";
     401 ANSWERED "answered";
     402 PASSED "passed";
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -34,6 +34,8 @@
     own_responses: IntCounterVec,
     /// Health probes sent to workers.
     pub(crate) probes: IntCounter,
+    /// Probes of workers that failed, by how.
+    probe_failures: IntCounterVec,
     registry: Registry,
     /// Responses that were broken off after a part of them had been passed on.
     pub(crate) relays_broken: IntCounter,
@@ -98,6 +100,12 @@
                 "status",
             ),
             probes: counter(&registry, "probes_total", "Health requests sent to workers"),
+            probe_failures: counter_vec(
+                &registry,
+                "probe_failures_total",
+                "Probes of workers that failed",
+                "failure",
+            ),
             relays_broken: counter(
                 &registry,
                 "relays_broken_total",
@@ -159,6 +167,13 @@
                 self.sends.with_label_values(&[repeat]).inc();
             }
             Decision::Backoff(_) => self.waits.inc(),
+            Decision::Skipped {
+                failure: Some(failure),
+                ..
+            } => {
+                let failure = failure.to_string();
+                self.probe_failures.with_label_values(&[&failure]).inc();
+            }
             Decision::AttemptEnded { .. } | Decision::Skipped { .. } | Decision::Failed(_) => {}
         }
     }
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -137,6 +137,18 @@
         }
     }
 
+    /// Logs that this daemon was cut off from a service's workers, or reaches one again.
+    pub(crate) fn log_reach_changes(&mut self, now: Time) {
+        for change in self.dispatcher.take_reach_changes() {
+            let event = if change.cut {
+                log_event::WORKERS_UNREACHED
+            } else {
+                log_event::WORKERS_REACHED
+            };
+            self.log_event(now, event, json!({"service": change.service}));
+        }
+    }
+
     /// Logs and counts a decision about the request with this id.
     fn log_decision(&mut self, now: Time, request: &str, record: &DecisionRecord) {
         let elapsed = record.elapsed.as_millis();
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -171,6 +171,14 @@
         self.records.iter().map(|(key, record)| (*key, record))
     }
 
+    /// The workers of a service that may be sent requests, as far as their standing goes.
+    pub fn sendable(&self, service: &str, now: Time) -> Vec<WorkerKey> {
+        let keys = self.services.get(service).map(Vec::as_slice);
+        let keys = keys.unwrap_or_default().iter().copied();
+        keys.filter(|key| self.standing(*key, now) != Standing::Barred)
+            .collect()
+    }
+
     /// The standing of a worker; unknown workers are barred.
     pub fn standing(&self, key: WorkerKey, now: Time) -> Standing {
         self.records.get(&key).map_or(Standing::Barred, |record| {
