Daemons connect from the address that their settings name

On the users' VMs the address is the one that the system would choose. Ports: IP_BIND_ADDRESS_NO_PORT leaves their choice to connect, as before, so as many connections as before can be open.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -21,15 +21,20 @@
     call::{CallId, Dispatcher, LinkId, Policy, StartupHold},
     conf::Settings,
     mio::{Events, Interest, Poll, Token, net::TcpStream},
+    nix::{
+        errno::Errno,
+        sys::socket::{setsockopt, sockopt::IpBindAddressNoPort},
+    },
     peer::{HEARTBEAT_PERIOD, Roster, Stage},
     pick::{WorkerKey, WorkerTable},
     serde_json::{Value, json},
     site::{Config, View},
     slab::Slab,
+    socket2::{Domain, Socket, Type},
     std::{
         collections::VecDeque,
         io::{self, ErrorKind},
-        net::SocketAddrV4,
+        net::{Ipv4Addr, SocketAddrV4},
         sync::Arc,
         time::Duration,
     },
@@ -231,7 +236,7 @@
         self.log.append(now, event, fields);
     }
 
-    /// Starts connecting to an address without waiting; returns the new connection's key in
+    /// Starts connecting to an address, from this daemon's own, without waiting; returns the new connection's key in
     /// `conns`.
     ///
     /// # Errors
@@ -242,7 +247,7 @@
         kind: ConnKind,
         now: Time,
     ) -> io::Result<usize> {
-        let sock = TcpStream::connect(address.into())?;
+        let sock = begin_connect(self.settings.ip, address)?;
         self.add_conn(sock, false, kind, now)
     }
 
@@ -375,3 +380,15 @@
         self.log_event(now, log_event::START, fields);
     }
 }
+
+/// Starts connecting from the address by which other daemons know this one.
+fn begin_connect(from: Ipv4Addr, to: SocketAddrV4) -> io::Result<TcpStream> {
+    let sock = Socket::new(Domain::IPV4, Type::STREAM.nonblocking(), None)?;
+    // A failure is ignored: without the option fewer connections can be open at a time.
+    let _ = setsockopt(&sock, IpBindAddressNoPort, &true);
+    sock.bind(&SocketAddrV4::new(from, 0).into())?;
+    match sock.connect(&to.into()) {
+        Err(error) if error.raw_os_error() != Some(Errno::EINPROGRESS as i32) => Err(error),
+        Ok(()) | Err(_) => Ok(TcpStream::from_std(sock.into())),
+    }
+}
