Failing tests: daemons that are cut off from all workers refuse their callers

Stand-in proxies cut one daemon off by its address: links hang, are reset, or live on while new ones are refused. Two of four daemons are cut; from 3 s on (stable-window-s) the first tries there must be served two thirds as often as elsewhere.

--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod changes;
 mod crashes;
+mod cuts;
 mod daemons;
 mod downloads;
 mod explain;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -9,7 +9,7 @@
         execution_log::ExecutionLog,
         ports::find_free_ports,
         process::Process,
-        proxy::Proxy,
+        proxy::{Cut, Proxy},
         settings::settings,
         store::Store,
         upstream::Upstream,
@@ -164,6 +164,14 @@
         self.daemons[index].settings.listen.directory
     }
 
+    /// Cuts a daemon off from all workers, or ends that for new connections. The fleet must have
+    /// proxies.
+    pub fn cut_from_workers(&self, index: usize, cut: Option<Cut>) {
+        for proxy in self.worker_proxies.values() {
+            proxy.cut(self.daemons[index].settings.ip, cut);
+        }
+    }
+
     /// Returns the number of daemons, running or not.
     pub fn size(&self) -> usize {
         self.daemons.len()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -32,7 +32,7 @@
     outcome::Outcome,
     ports::find_free_ports,
     process::Process,
-    proxy::{Proxy, ProxyFault},
+    proxy::{Cut, Proxy, ProxyFault},
     slow_callers::SlowCallers,
     soak::{Soak, SoakReport},
     store::{Store, StoreFault},
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -1,8 +1,9 @@
 //! A loopback TCP proxy that injects network faults.
 
 use std::{
+    collections::HashMap,
     io::{self, Read, Write},
-    net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -34,12 +35,41 @@
     BlackholeOpen,
 }
 
+/// How a proxy cuts one client off from its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Discards everything, on open and on new connections.
+    Hang,
+    /// Closes new connections as soon as they are accepted; open ones go on.
+    RefuseNew,
+    /// Closes open connections, and new ones as soon as they are accepted.
+    Reset,
+}
+
+/// An open connection.
+struct ProxiedConn {
+    /// Whether it discards everything.
+    blackholed: Arc<AtomicBool>,
+    client: TcpStream,
+    /// The client's address.
+    from: IpAddr,
+    server: TcpStream,
+}
+
+impl ProxiedConn {
+    fn close(&self) {
+        // Shutting down fails if the connection is already closed.
+        let _ = self.client.shutdown(Shutdown::Both);
+        let _ = self.server.shutdown(Shutdown::Both);
+    }
+}
+
 /// The state that a proxy shares with its threads.
 #[derive(Default)]
 struct Shared {
-    /// Open connections: the client's end, the server's end, and whether the connection discards
-    /// everything.
-    conns: Mutex<Vec<(TcpStream, TcpStream, Arc<AtomicBool>)>>,
+    conns: Mutex<Vec<ProxiedConn>>,
+    /// The clients that are cut off, by address.
+    cuts: Mutex<HashMap<IpAddr, Cut>>,
     fault: Mutex<ProxyFault>,
     /// Whether the proxy accepts no more connections.
     stop: AtomicBool,
@@ -72,13 +102,36 @@
         match fault {
             ProxyFault::Reset => self.shared.close_connections(),
             ProxyFault::BlackholeOpen => {
-                for (_, _, blackholed) in self.shared.conns().iter() {
-                    blackholed.store(true, Ordering::Relaxed);
+                for conn in self.shared.conns().iter() {
+                    conn.blackholed.store(true, Ordering::Relaxed);
                 }
             }
             _ => {}
         }
     }
+
+    /// Cuts the client with this address off from the server; `None` ends that for new connections.
+    pub fn cut(&self, client: Ipv4Addr, cut: Option<Cut>) {
+        let client = IpAddr::V4(client);
+        let mut cuts = self.shared.cuts();
+        match cut {
+            Some(cut) => cuts.insert(client, cut),
+            None => cuts.remove(&client),
+        };
+        drop(cuts);
+        for conn in self
+            .shared
+            .conns()
+            .iter()
+            .filter(|conn| conn.from == client)
+        {
+            match cut {
+                Some(Cut::Hang) => conn.blackholed.store(true, Ordering::Relaxed),
+                Some(Cut::Reset) => conn.close(),
+                Some(Cut::RefuseNew) | None => {}
+            }
+        }
+    }
 }
 
 impl Drop for Proxy {
@@ -91,19 +144,21 @@
 }
 
 impl Shared {
-    fn conns(&self) -> MutexGuard<'_, Vec<(TcpStream, TcpStream, Arc<AtomicBool>)>> {
+    fn conns(&self) -> MutexGuard<'_, Vec<ProxiedConn>> {
         self.conns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn cuts(&self) -> MutexGuard<'_, HashMap<IpAddr, Cut>> {
+        self.cuts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn fault(&self) -> MutexGuard<'_, ProxyFault> {
         self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn close_connections(&self) {
-        for (client, server, _) in self.conns().drain(..) {
-            // Shutting down fails if the connection is already closed.
-            let _ = client.shutdown(Shutdown::Both);
-            let _ = server.shutdown(Shutdown::Both);
+        for conn in self.conns().drain(..) {
+            conn.close();
         }
     }
 }
@@ -117,38 +172,51 @@
         let Ok(client) = client else {
             continue;
         };
-        if *shared.fault() == ProxyFault::Reset {
+        let Ok(from) = client.peer_addr().map(|address| address.ip()) else {
+            continue;
+        };
+        let cut = shared.cuts().get(&from).copied();
+        let refused = matches!(cut, Some(Cut::RefuseNew | Cut::Reset));
+        if refused || *shared.fault() == ProxyFault::Reset {
             continue;
         }
         // If the server can't be reached, the client's connection is closed.
         if let Ok(server) = TcpStream::connect_timeout(&SocketAddr::V4(server), CONNECT_TIMEOUT) {
-            let _ = forward(client, server, shared);
+            let blackholed = Arc::new(AtomicBool::new(cut == Some(Cut::Hang)));
+            let conn = ProxiedConn {
+                blackholed,
+                client,
+                from,
+                server,
+            };
+            let _ = forward(conn, shared);
         }
     }
 }
 
 /// Starts a thread for each direction of a connection.
-fn forward(client: TcpStream, server: TcpStream, shared: &Arc<Shared>) -> io::Result<()> {
+fn forward(conn: ProxiedConn, shared: &Arc<Shared>) -> io::Result<()> {
+    let (client, server) = (&conn.client, &conn.server);
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
-    let blackholed: Arc<AtomicBool> = Arc::default();
-    let ends = (client.try_clone()?, server.try_clone()?);
-    {
-        let mut conns = shared.conns();
-        conns.retain(|(client, _, _)| client.peer_addr().is_ok());
-        conns.push((ends.0, ends.1, Arc::clone(&blackholed)));
-    }
     for (from, to, drop_fault) in [
         (
             client.try_clone()?,
             server.try_clone()?,
             ProxyFault::DropToServer,
         ),
-        (server, client, ProxyFault::DropToClient),
+        (
+            server.try_clone()?,
+            client.try_clone()?,
+            ProxyFault::DropToClient,
+        ),
     ] {
-        let (shared, blackholed) = (Arc::clone(shared), Arc::clone(&blackholed));
+        let (shared, blackholed) = (Arc::clone(shared), Arc::clone(&conn.blackholed));
         thread::spawn(move || copy(from, to, drop_fault, &blackholed, &shared));
     }
+    let mut conns = shared.conns();
+    conns.retain(|conn| conn.client.peer_addr().is_ok());
+    conns.push(conn);
     Ok(())
 }
 
