--- a/crates/call/benches/selection.rs
+++ b/crates/call/benches/selection.rs
@@ -52,6 +52,7 @@
         let arrival = Arrival {
             call: CallId(number),
             fingerprint: Fingerprint(number),
+            forwarded: None,
             timeout: Some(Span::secs(1)),
             route: Arc::clone(&route),
             waited: Span::ZERO,
--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -1,9 +1,9 @@
 use {
-    crate::LinkId,
+    crate::{LinkId, forwarding::Forward},
     pick::WorkerKey,
     poison::Fingerprint,
     site::{LoadReport, Route},
-    std::sync::Arc,
+    std::{net::Ipv4Addr, sync::Arc},
     unit::{Name, Span, Time},
 };
 
@@ -68,6 +68,8 @@
     /// The attempts in flight.
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) arrived_at: Time,
+    /// The helpers that were asked to take the request.
+    pub(crate) asked: Vec<Ipv4Addr>,
     /// When the caller must have a response.
     pub(crate) deadline: Time,
     /// By what the request is known when it comes again.
@@ -75,6 +77,10 @@
     /// The link that brought a worker's error response, which the caller gets if no later attempt
     /// succeeds.
     pub(crate) fallback: Option<LinkId>,
+    /// What is in flight at a helper.
+    pub(crate) forward: Option<Forward>,
+    /// Whether another daemon forwarded the request, so that it isn't forwarded again.
+    pub(crate) from_peer: bool,
     /// Whether a hedge was started; no other is started while this is set. Reset if the hedge
     /// could not be sent and may be tried again.
     pub(crate) hedged: bool,
@@ -84,6 +90,10 @@
     pub(crate) backoff_until: Option<Time>,
     /// Whether an attempt that has ended may have run the request.
     pub(crate) maybe_ran: bool,
+    /// To how many workers the request may be sent.
+    pub(crate) max_attempts: u32,
+    /// Whether a worker responded, to a probe or otherwise.
+    pub(crate) reached: bool,
     pub(crate) route: Arc<Route>,
     pub(crate) selection: SelectionState,
     /// How many attempts were sent, hedges included.
@@ -109,13 +119,18 @@
             probed: Vec::new(),
             attempts: Vec::new(),
             arrived_at: now,
+            asked: Vec::new(),
             deadline,
             fallback: None,
             fingerprint,
+            forward: None,
+            from_peer: false,
             hedged: false,
             candidate: None,
             backoff_until: None,
             maybe_ran: false,
+            max_attempts: route.max_attempts,
+            reached: false,
             route,
             selection: SelectionState::Primary,
             sends: 0,
@@ -129,9 +144,9 @@
         self.route.kind.is_idempotent()
     }
 
-    /// Whether the route allows one more attempt.
+    /// Whether one more attempt is allowed.
     pub(crate) fn may_send(&self) -> bool {
-        self.sends < self.route.max_attempts
+        self.sends < self.max_attempts
     }
 
     /// The time left until the route's latency objective is missed.
--- a/crates/call/src/call_action.rs
+++ b/crates/call/src/call_action.rs
@@ -1,6 +1,7 @@
 use {
     crate::{CallId, LinkId},
     pick::WorkerKey,
+    std::net::Ipv4Addr,
     unit::Span,
 };
 
@@ -52,8 +53,28 @@
         /// The worker.
         worker: WorkerKey,
     },
+    /// Pass the request on to another daemon.
+    Forward {
+        /// To how many workers it may be sent.
+        attempts: u32,
+        /// The request.
+        call: CallId,
+        /// The other daemon's address.
+        helper: Ipv4Addr,
+        /// The number of this use of a connection.
+        link: LinkId,
+        /// The time left until the deadline.
+        time_left: Span,
+    },
     /// Return the connection to the pool.
     Release(LinkId),
     /// Send the request on the connection, and tell the worker the time left until the deadline.
     Send(CallId, LinkId, Span),
+    /// Send a health probe, for no request, to a worker on a new connection.
+    Try {
+        /// The number of this use of the connection.
+        link: LinkId,
+        /// The worker.
+        worker: WorkerKey,
+    },
 }
--- a/crates/call/src/call_event.rs
+++ b/crates/call/src/call_event.rs
@@ -2,12 +2,13 @@
     crate::{
         CallId, LinkId,
         attempt_ending::{AttemptReport, ProbeFailure},
+        forwarding::ForwardEnding,
     },
     pick::WorkerKey,
     poison::Fingerprint,
     site::{HealthReport, Route},
     std::sync::Arc,
-    unit::Span,
+    unit::{Name, Span},
 };
 
 /// A request that has arrived from a caller.
@@ -17,6 +18,8 @@
     pub call: CallId,
     /// By what the request is known when it comes again.
     pub fingerprint: Fingerprint,
+    /// What the daemon said that forwarded the request; `None` if it came from its caller.
+    pub forwarded: Option<Forwarded>,
     /// How long the caller waits for the response; `None` if the request doesn't say.
     pub timeout: Option<Span>,
     /// The route that matched the request.
@@ -25,6 +28,15 @@
     pub waited: Span,
 }
 
+/// What a daemon says of a request that it forwards.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Forwarded {
+    /// To how many workers it may be sent.
+    pub attempts: u32,
+    /// The service that it goes to.
+    pub service: Name,
+}
+
 /// The timeout of a request whose caller gives none. The route's timeout applies as well; the
 /// shorter one counts.
 const DEFAULT_TIMEOUT: Span = Span::secs(30);
@@ -66,6 +78,8 @@
     /// A connection asked for with [`CallAction::Connect`](crate::CallAction::Connect) is ready, or
     /// failed.
     ConnectEnded(LinkId, Result<(), ProbeFailure>),
+    /// A request that was forwarded to another daemon ended.
+    ForwardEnded(LinkId, ForwardEnding),
     /// The time given by [`Dispatcher::next_tick`](crate::Dispatcher::next_tick) has come.
     Tick,
     /// A worker responded to a probe after the probe had been abandoned.
--- a/crates/call/src/candidates.rs
+++ b/crates/call/src/candidates.rs
@@ -30,6 +30,9 @@
         health: &HealthReport,
     ) {
         self.note_reached(probe.worker);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.reached = true;
+        }
         let Some(record) = self.table.get(probe.worker) else {
             self.close_link(probe.link);
             self.select_worker(now, id);
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -135,6 +135,9 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        if call.forward.is_some() {
+            return;
+        }
         if !call.may_send() {
             self.give_up(now, id);
             return;
@@ -156,10 +159,20 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        call.selection = SelectionState::Idle;
+        if call.forward.is_some() {
+            return;
+        }
         if !call.attempts.is_empty() {
+            call.selection = SelectionState::Idle;
             return;
         }
+        if self.may_save(now, id) && self.forward(now, id) {
+            return;
+        }
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.selection = SelectionState::Idle;
         if let Some(link) = call.fallback {
             self.finish(id, CallAction::Deliver(id, link));
             return;
@@ -232,6 +245,7 @@
         if let Some(probe) = &call.probe {
             self.close_link(probe.link);
         }
+        self.cancel_forward(call);
         if let Some(candidate) = &call.candidate {
             self.discard_candidate(candidate);
         }
@@ -253,7 +267,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        if call.attempts.is_empty() {
+        if call.attempts.is_empty() && call.forward.is_none() {
             self.give_up(now, id);
             return;
         }
--- a/crates/call/src/decision.rs
+++ b/crates/call/src/decision.rs
@@ -2,6 +2,7 @@
     crate::{AttemptEnding, CallError, CallId, ProbeFailure},
     pick::WorkerKey,
     site::LoadReport,
+    std::net::Ipv4Addr,
     unit::Span,
 };
 
@@ -35,6 +36,10 @@
         /// The worker.
         worker: WorkerKey,
     },
+    /// A helper doesn't take the request, or couldn't be connected to.
+    Declined(Ipv4Addr),
+    /// The request is forwarded to a helper.
+    Forwarded(Ipv4Addr),
     /// The caller gets an error response from the daemon itself.
     Failed(CallError),
     /// The request is sent to a worker.
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -4,15 +4,16 @@
         NoticeChange, Policy, ProbeFailure,
         call::{Call, Candidate},
         crashes::{Check, WorkerCrash},
+        forwarding::Trial,
         reaching::ReachChange,
         split::Split,
     },
     fastrand::Rng,
-    forward::Reach,
+    forward::{Helpers, Reach},
     limit::RetryBudget,
     pick::{LatencyEstimate, LimitNews, NoticeSource, WorkerKey, WorkerTable},
     poison::{CrashLog, CrashNews},
-    site::{Config, HealthReport, LoadReport, Notice},
+    site::{Config, HealthReport, LoadReport, Notice, Route},
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc},
     unit::{Map, Name, Set, Span, Time},
 };
@@ -31,6 +32,8 @@
     pub(crate) config: Arc<Config>,
     /// Which requests were in flight at workers that crashed.
     pub(crate) crash_log: CrashLog,
+    /// The daemons that may take requests of this one.
+    pub helpers: Helpers,
     /// The request that each use of a connection belongs to.
     pub(crate) links: Map<LinkId, CallId>,
     /// The lowest priority among the routes of each service, which is the highest number in
@@ -58,6 +61,8 @@
     /// When each request is to be looked at again. Entries are not removed when they become
     /// obsolete.
     pub(crate) timers: BinaryHeap<Reverse<(Time, CallId)>>,
+    /// The trials in flight.
+    pub(crate) trials: Map<LinkId, Trial>,
     /// The estimated latencies, by the route's name.
     pub(crate) latency_estimates: Map<Name, LatencyEstimate>,
 }
@@ -71,6 +76,7 @@
             checks: Map::default(),
             config: Arc::default(),
             crash_log: CrashLog::default(),
+            helpers: Helpers::default(),
             links: Map::default(),
             lowest_priority: Map::default(),
             next_link: 0,
@@ -85,6 +91,7 @@
             new_crashes: Vec::new(),
             notice_changes: Vec::new(),
             timers: BinaryHeap::new(),
+            trials: Map::default(),
             latency_estimates: Map::default(),
         }
     }
@@ -124,7 +131,13 @@
 
     /// When the next [`CallEvent::Tick`] is due; `None` while no timer is set.
     pub fn next_tick(&self) -> Option<Time> {
-        self.timers.peek().map(|Reverse((at, _))| *at)
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        timer.into_iter().chain(self.next_trial()).min()
+    }
+
+    /// The service of a request in progress.
+    pub fn service_of(&self, call: CallId) -> Option<&Name> {
+        self.calls.get(&call).map(|call| &call.service)
     }
 
     /// Handles an event and returns the actions to carry out, in order.
@@ -136,6 +149,7 @@
             CallEvent::CallerDisconnected(call) => self.caller_disconnected(call),
             CallEvent::CheckEnded(link, liveness) => self.check_ended(now, link, liveness),
             CallEvent::ConnectEnded(link, result) => self.connect_ended(now, link, result),
+            CallEvent::ForwardEnded(link, ending) => self.forward_ended(now, link, ending),
             CallEvent::Tick => self.run_timers(now),
             CallEvent::LateHealth(worker, health) => {
                 self.note_reached(worker);
@@ -161,25 +175,42 @@
         let Arrival {
             call: id,
             fingerprint,
+            forwarded,
             route,
             ..
         } = arrival;
-        let split = self
-            .splits
-            .entry(route.name.clone())
-            .or_insert_with(|| Split::new(&route.targets, &mut self.rng));
-        let Some(service) = split.next(&route.targets).cloned() else {
+        let service = match &forwarded {
+            Some(forwarded) => Some(forwarded.service.clone()),
+            None => self.pick_service(&route),
+        };
+        let Some(service) = service else {
             self.actions
                 .push(CallAction::Fail(id, CallError::NotRun(Span::secs(1))));
             return;
         };
-        self.retry_budget(&service).record_request(now);
-        let call = Call::new(fingerprint, route, service, now, now + max_wait);
+        let mut call = Call::new(fingerprint, route, service, now, now + max_wait);
+        match forwarded {
+            // The daemon at which it arrived has counted it.
+            Some(forwarded) => {
+                call.from_peer = true;
+                call.max_attempts = call.max_attempts.min(forwarded.attempts);
+            }
+            None => self.retry_budget(&call.service).record_request(now),
+        }
         self.timers.push(Reverse((call.deadline, id)));
         self.calls.insert(id, call);
         self.select_worker(now, id);
     }
 
+    /// The service that a route's weights pick for the next request.
+    fn pick_service(&mut self, route: &Route) -> Option<Name> {
+        let split = self
+            .splits
+            .entry(route.name.clone())
+            .or_insert_with(|| Split::new(&route.targets, &mut self.rng));
+        split.next(&route.targets).cloned()
+    }
+
     /// This daemon's share of the limit on retries and hedges of a service's requests.
     pub(crate) fn retry_budget(&mut self, service: &Name) -> &mut RetryBudget {
         let bounds = &self.policy.bounds;
@@ -200,6 +231,7 @@
 
     /// Handles whatever is due by now.
     fn run_timers(&mut self, now: Time) {
+        self.run_trials(now);
         while let Some(Reverse((at, id))) = self.timers.peek().copied() {
             if at > now {
                 break;
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -15,6 +15,7 @@
 mod crashes;
 mod decision;
 mod dispatcher;
+mod forwarding;
 mod id;
 mod notice_change;
 mod policy;
@@ -28,10 +29,11 @@
 pub use {
     attempt_ending::{AttemptEnding, AttemptReport, ProbeFailure},
     call_action::{CallAction, CallError},
-    call_event::{Arrival, CallEvent, Liveness},
+    call_event::{Arrival, CallEvent, Forwarded, Liveness},
     crashes::WorkerCrash,
     decision::{Decision, DecisionRecord},
     dispatcher::Dispatcher,
+    forwarding::ForwardEnding,
     id::{CallId, LinkId},
     notice_change::NoticeChange,
     policy::Policy,
--- a/crates/call/src/reaching.rs
+++ b/crates/call/src/reaching.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::dispatcher::Dispatcher,
+    forward::service_hash,
     pick::WorkerKey,
     unit::{Name, Time},
 };
@@ -32,11 +33,17 @@
         let Some(record) = self.table.get(worker) else {
             return;
         };
-        let service = record.worker.service.clone();
-        let Some(reach) = self.reaches.get_mut(&service) else {
-            return;
-        };
-        if reach.record_reached() {
+        if let Some(reach) = self.reaches.get_mut(&record.worker.service) {
+            reach.record_reached();
+        }
+    }
+
+    /// Notes that a worker answered a trial: the daemon isn't cut off any more.
+    pub(crate) fn note_trial(&mut self, now: Time, service: Name) {
+        let reach = self.reaches.get_mut(&service);
+        if reach.is_some_and(|reach| reach.record_trial(now)) {
+            // They failed for the links, not by themselves.
+            self.table.end_backoffs(&service);
             self.reach_changes.push(ReachChange {
                 cut: false,
                 service,
@@ -44,6 +51,14 @@
         }
     }
 
+    /// The hashes of the services that this daemon is cut off from, at most `max`.
+    pub fn unreached(&self, max: usize) -> Vec<u32> {
+        let cut = self.reaches.iter().filter(|(_, reach)| reach.is_cut());
+        cut.map(|(service, _)| service_hash(service))
+            .take(max)
+            .collect()
+    }
+
     /// Notes that a worker couldn't be reached, or didn't respond in time.
     pub(crate) fn note_failed(&mut self, now: Time, worker: WorkerKey) {
         let Some(record) = self.table.get(worker) else {
--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -35,6 +35,9 @@
             self.stop_barred(now, id);
             return;
         }
+        if self.wants_forward(now, id) && self.forward(now, id) {
+            return;
+        }
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -235,6 +238,10 @@
         link: LinkId,
         health: Result<HealthReport, ProbeFailure>,
     ) {
+        if let Some(trial) = self.trials.remove(&link) {
+            self.trial_ended(now, link, &trial, health);
+            return;
+        }
         let Some((id, probe)) = self.end_probe(link) else {
             return;
         };
--- a/crates/call/src/sending.rs
+++ b/crates/call/src/sending.rs
@@ -7,11 +7,11 @@
         dispatcher::Dispatcher,
     },
     std::cmp::Reverse,
-    unit::{Span, Time},
+    unit::{Name, Span, Time},
 };
 
 /// The least time left before the deadline with which a request is still sent to a worker.
-const MIN_REMAINING: Span = Span::millis(5);
+pub(crate) const MIN_REMAINING: Span = Span::millis(5);
 /// How long a candidate may be kept while other workers are probed. One that is older was found
 /// before a pause of this process.
 const MAX_CANDIDATE_AGE: Span = Span::millis(400);
@@ -66,20 +66,12 @@
         };
         let left = call.deadline.since(now);
         let repeat = call.sends > 0;
-        let hedge = call.selection == SelectionState::Hedge;
-        let fraction = if hedge {
-            self.policy.hedge_fraction
-        } else {
-            1.0
-        };
+        let selection = call.selection;
+        let hedge = selection == SelectionState::Hedge;
         let service = call.service.clone();
         let prior_sends = call.sends;
-        let members = self.table.member_count();
-        let permitted = left >= MIN_REMAINING
-            && (!repeat
-                || self
-                    .retry_budget(&service)
-                    .take_permit(now, members, fraction));
+        let permitted =
+            left >= MIN_REMAINING && (!repeat || self.take_retry_permit(now, &service, selection));
         if !permitted {
             self.discard_candidate(&candidate);
             if hedge {
@@ -117,6 +109,23 @@
         self.schedule_hedge(now, id, candidate.expected);
     }
 
+    /// Takes a permit to send a request once more. Hedges leave a part of the budget to retries.
+    pub(crate) fn take_retry_permit(
+        &mut self,
+        now: Time,
+        service: &Name,
+        selection: SelectionState,
+    ) -> bool {
+        let fraction = if selection == SelectionState::Hedge {
+            self.policy.hedge_fraction
+        } else {
+            1.0
+        };
+        let members = self.table.member_count();
+        self.retry_budget(service)
+            .take_permit(now, members, fraction)
+    }
+
     /// Sets the timer at which the request is hedged if it is still in flight: once the worker has
     /// taken longer than expected, but no sooner than the last moment at which a second worker can
     /// typically still meet the latency objective.
--- a/crates/call/tests/dispatcher/harness.rs
+++ b/crates/call/tests/dispatcher/harness.rs
@@ -147,6 +147,7 @@
         self.handle(CallEvent::Arrived(Arrival {
             call,
             fingerprint: Fingerprint(call.0),
+            forwarded: None,
             timeout: Some(Span::secs(1)),
             route: Arc::clone(route),
             waited: Span::ZERO,
--- a/crates/call/tests/dispatcher/random.rs
+++ b/crates/call/tests/dispatcher/random.rs
@@ -3,13 +3,13 @@
 use {
     crate::harness::{Harness, bounds, health, route},
     call::{
-        AttemptEnding, AttemptReport, CallAction, CallError, CallEvent, CallId, LinkId, Liveness,
-        Policy, ProbeFailure,
+        AttemptEnding, AttemptReport, CallAction, CallError, CallEvent, CallId, ForwardEnding,
+        LinkId, Liveness, Policy, ProbeFailure,
     },
     fastrand::Rng,
     quickcheck::quickcheck,
     site::RouteKind,
-    std::sync::Arc,
+    std::{net::Ipv4Addr, sync::Arc},
     unit::{Map, Span},
 };
 
@@ -21,6 +21,10 @@
     Reserved,
     Connecting,
     Sent(CallId),
+    /// Used to forward a request.
+    Forwarded(CallId),
+    /// Used for a trial.
+    Trying,
 }
 
 /// What happened to a request so far.
@@ -38,6 +42,10 @@
 struct RandomRun {
     records: Map<CallId, CallRecord>,
     links: Map<LinkId, LinkState>,
+    /// How many requests were forwarded.
+    forwards: u32,
+    /// Whether no worker can be reached.
+    outage: bool,
     rng: Rng,
     harness: Harness,
 }
@@ -46,11 +54,16 @@
     fn new(seed: u64) -> Self {
         let mut policy = Policy::new(bounds());
         policy.bounds.probe_rate = if seed & 1 == 0 { 10_000.0 } else { 10.0 };
+        let mut harness = Harness::with_policy(&["w", "x", "y", "z"], policy);
+        let helpers = [1, 2, 3, 4].map(|last| (Ipv4Addr::new(10, 0, 1, last), last < 3));
+        harness.dispatcher.helpers.set_members(helpers.into_iter());
         Self {
             records: Map::default(),
             links: Map::default(),
+            forwards: 0,
+            outage: false,
             rng: Rng::with_seed(seed),
-            harness: Harness::with_policy(&["w", "x", "y", "z"], policy),
+            harness,
         }
     }
 
@@ -79,6 +92,7 @@
             return;
         };
         let result = match self.rng.u32(..6) {
+            _ if self.outage => Err(ProbeFailure::ConnectionFailed),
             0 => Err(ProbeFailure::ConnectionFailed),
             1 => Ok(health(4, 3, 100)),
             2 => Ok(health(1, 0, 500)),
@@ -133,6 +147,42 @@
         self.harness.handle(CallEvent::AttemptEnded(link, report));
     }
 
+    fn end_trial(&mut self) {
+        let Some(link) = self.link(|state| *state == LinkState::Trying) else {
+            return;
+        };
+        let result = if self.outage {
+            self.links.remove(&link);
+            Err(ProbeFailure::ConnectionFailed)
+        } else {
+            self.links.insert(link, LinkState::Reserved);
+            Ok(health(1, 0, 100))
+        };
+        self.harness.handle(CallEvent::ProbeEnded(link, result));
+    }
+
+    fn end_forward(&mut self) {
+        let Some(link) = self.link(|state| matches!(state, LinkState::Forwarded(_))) else {
+            return;
+        };
+        let endings = [
+            ForwardEnding::Answered,
+            ForwardEnding::Declined,
+            ForwardEnding::Failed(CallError::Lost),
+            ForwardEnding::Failed(CallError::NotRun(Span::millis(10))),
+            ForwardEnding::Failed(CallError::Timeout),
+        ];
+        let ending = endings[self.rng.usize(..endings.len())];
+        let Some(LinkState::Forwarded(call)) = self.links.remove(&link) else {
+            return;
+        };
+        let not_run = ForwardEnding::Failed(CallError::NotRun(Span::millis(10)));
+        if ending == ForwardEnding::Declined || ending == not_run {
+            self.records.entry(call).or_default().maybe_ran -= 1;
+        }
+        self.harness.handle(CallEvent::ForwardEnded(link, ending));
+    }
+
     fn disconnect_caller(&mut self) {
         let mut calls: Vec<CallId> = self
             .records
@@ -186,6 +236,27 @@
                     record.maybe_ran += 1;
                     record.sends += 1;
                 }
+                CallAction::Forward {
+                    attempts,
+                    call,
+                    link,
+                    time_left,
+                    ..
+                } => {
+                    let state = LinkState::Forwarded(call);
+                    assert_eq!(self.links.insert(link, state), None);
+                    assert!(attempts > 0 && time_left > Span::ZERO);
+                    let record = self.records.entry(call).or_default();
+                    assert_eq!(record.ended, 0);
+                    if record.kind == Some(RouteKind::AtMostOnce) {
+                        assert_eq!(record.maybe_ran, 0, "the request may run twice");
+                    }
+                    record.maybe_ran += 1;
+                    self.forwards += 1;
+                }
+                CallAction::Try { link, .. } => {
+                    assert_eq!(self.links.insert(link, LinkState::Trying), None);
+                }
                 CallAction::Deliver(call, _) => self.end_call(call),
                 CallAction::Fail(call, error) => {
                     if matches!(error, CallError::Barred(_) | CallError::NotRun(_)) {
@@ -210,31 +281,49 @@
     }
 }
 
+/// Plays random events and checks the dispatcher's actions.
+fn play(seed: u64) -> RandomRun {
+    let mut run = RandomRun::new(seed);
+    for _ in 0..400 {
+        if run.rng.u32(..80) == 0 {
+            run.outage = !run.outage;
+        }
+        match run.rng.u32(..12) {
+            0 | 1 => run.arrive(),
+            2..=4 => {
+                run.end_probe();
+                run.end_connect();
+            }
+            5 | 6 => run.end_attempt(),
+            7 => run.disconnect_caller(),
+            8 => run.end_trial(),
+            9 => run.end_forward(),
+            _ => {
+                let span = Span::millis(run.rng.u64(1..60));
+                run.harness.advance(span);
+            }
+        }
+        run.check_actions();
+    }
+    run.harness.advance(Span::secs(5));
+    run.check_actions();
+    run.links.retain(|_, state| *state != LinkState::Trying);
+    assert!(run.harness.dispatcher.is_empty());
+    assert!(run.links.is_empty(), "{:?}", run.links);
+    run
+}
+
 quickcheck! {
     /// An at-most-once request is never sent again once it may have run; a request reported as not
     /// run has not run; every request ends exactly once; no connection is leaked.
     fn invariants_hold_for_any_sequence_of_events(seed: u64) -> bool {
-        let mut run = RandomRun::new(seed);
-        for _ in 0..400 {
-            match run.rng.u32(..10) {
-                0 | 1 => run.arrive(),
-                2..=4 => {
-                    run.end_probe();
-                    run.end_connect();
-                }
-                5 | 6 => run.end_attempt(),
-                7 => run.disconnect_caller(),
-                _ => {
-                    let span = Span::millis(run.rng.u64(1..60));
-                    run.harness.advance(span);
-                }
-            }
-            run.check_actions();
-        }
-        run.harness.advance(Span::secs(5));
-        run.check_actions();
-        assert!(run.harness.dispatcher.is_empty());
-        assert!(run.links.is_empty(), "{:?}", run.links);
+        let run = play(seed);
         run.records.values().all(|record| record.ended == 1)
     }
 }
+
+#[test]
+fn random_sequences_forward_requests() {
+    let forwards: u32 = (0..20).map(|seed| play(seed).forwards).sum();
+    assert!(forwards > 100, "{forwards}");
+}
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -216,6 +216,7 @@
         let arrival = Arrival {
             call,
             fingerprint: Fingerprint(call.0),
+            forwarded: None,
             timeout,
             route,
             waited: Span::ZERO,
@@ -333,6 +334,9 @@
                 self.delivered(daemon_index, call);
             }
             CallAction::Fail(call, error) => self.call_failed(daemon_index, call, error),
+            CallAction::Forward { .. } | CallAction::Try { .. } => {
+                unreachable!("all workers can be reached here, and no helper is known")
+            }
         }
     }
 
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -1,6 +1,9 @@
 use {
     crate::{Bounds, Listen},
-    std::net::{Ipv4Addr, SocketAddrV4},
+    std::{
+        collections::BTreeMap,
+        net::{Ipv4Addr, SocketAddrV4},
+    },
     unit::Name,
 };
 
@@ -23,9 +26,19 @@
     pub peer_ports: (u16, u16),
     /// The daemon's region.
     pub region: Name,
+    /// The region of each data centre.
+    pub regions: BTreeMap<Name, Name>,
     /// Machines at which the daemon looks for peers while it knows of none that is alive; some may
     /// no longer exist.
     pub seeds: Vec<Ipv4Addr>,
     /// The address of the platform's store.
     pub store: SocketAddrV4,
 }
+
+impl Settings {
+    /// The region of a data centre, if it is known.
+    pub fn region_of(&self, centre: &Name) -> Option<&Name> {
+        let own = (*centre == self.centre).then_some(&self.region);
+        own.or_else(|| self.regions.get(centre))
+    }
+}
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -10,7 +10,8 @@
         log_event,
         requests::ActiveRequest,
     },
-    call::{Arrival, CallEvent, CallId},
+    call::{Arrival, CallEvent, CallId, Forwarded},
+    forward::ForwardRequest,
     peer::Stage,
     platform::{RequestHead, problem_response},
     poison::Fingerprint,
@@ -34,6 +35,8 @@
     /// When it arrived, which is before it is read if it was held.
     arrived: Time,
     form: ResponseForm,
+    /// What another daemon said of it, if one forwarded it.
+    forwarded: Option<ForwardRequest>,
     head: RequestHead,
     request: Request,
 }
@@ -81,7 +84,8 @@
                 Ok(None) => {
                     let partial = caller.reader.has_pending();
                     caller.partial_since = partial.then(|| caller.partial_since.unwrap_or(now));
-                    if caller.pipeline.is_empty() && caller.reader.take_continue_due() {
+                    let expects = caller.forwarded.is_none() && caller.pipeline.is_empty();
+                    if expects && caller.reader.take_continue_due() {
                         // A failure is ignored here; the next read of the connection reports it.
                         let _ = self.write_conn(conn_key, CONTINUE, now);
                     }
@@ -128,7 +132,9 @@
     /// It arrived at `arrived`, which is earlier than now only if it was held.
     fn handle_request(&mut self, now: Time, conn_key: usize, request: Request, arrived: Time) {
         self.metrics.requests.inc();
-        let last = request.closes_connection() || self.stage == Stage::Leaving;
+        let forwarded = self.forwarded(conn_key).cloned();
+        let last =
+            request.closes_connection() || self.stage == Stage::Leaving || forwarded.is_some();
         let form = ResponseForm {
             is_head: request.method == "HEAD",
             last,
@@ -147,11 +153,19 @@
             }
         };
         match self.route(now, &head.host, request.path()) {
+            Ok(route)
+                if forwarded.as_ref().is_some_and(|forwarded| {
+                    !self.takes_forwarded(forwarded, &request, &route)
+                }) =>
+            {
+                self.decline_forwarded(now, conn_key);
+            }
             Ok(route) => {
                 self.metrics.count_routed(&route.kind);
                 let received = ReceivedRequest {
                     arrived,
                     form,
+                    forwarded,
                     head,
                     request,
                 };
@@ -192,6 +206,7 @@
         let ReceivedRequest {
             arrived,
             form,
+            forwarded,
             head,
             request,
         } = received;
@@ -209,6 +224,10 @@
         let arrival = Arrival {
             call: id,
             fingerprint,
+            forwarded: forwarded.map(|forwarded| Forwarded {
+                attempts: forwarded.attempts,
+                service: forwarded.service,
+            }),
             timeout: head.deadline,
             route,
             waited: now.since(arrived),
@@ -216,6 +235,7 @@
         let active = ActiveRequest {
             deadline: now + arrival.max_wait(),
             fingerprint,
+            forwarded: arrival.forwarded.is_some(),
             started: arrived,
             is_head: form.is_head,
             id: head.id.as_str().into(),
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -10,6 +10,7 @@
         requests::ActiveRequest,
     },
     call::{CallEvent, CallId},
+    forward::{ForwardReply, ForwardRequest},
     platform::problem_response,
     serde_json::json,
     site::CallerLimits,
@@ -81,6 +82,9 @@
 pub(crate) struct CallerConn {
     /// Whether no further requests are read.
     pub(crate) closing: bool,
+    /// What another daemon said of the request that it forwards; `None` on a caller's own
+    /// connection.
+    pub(crate) forwarded: Option<ForwardRequest>,
     /// When the first bytes arrived that are held because this daemon has just started.
     pub(crate) held_since: Option<Time>,
     /// When the first bytes of an incomplete request arrived; `None` if there are none.
@@ -109,9 +113,15 @@
             self.log_event(now, log_event::ACCEPT_FAILED, fields);
             return None;
         }
+        Some(self.new_caller_conn(None))
+    }
+
+    /// The state of a new connection of a caller, or of another daemon that forwards a request.
+    pub(crate) fn new_caller_conn(&self, forwarded: Option<ForwardRequest>) -> ConnKind {
         let limits = self.caller_limits();
-        Some(ConnKind::Caller(CallerConn {
+        ConnKind::Caller(CallerConn {
             closing: false,
+            forwarded,
             held_since: None,
             partial_since: None,
             paused: false,
@@ -120,7 +130,7 @@
                 head_bytes: limits.head_bytes,
             }),
             pipeline: VecDeque::new(),
-        }))
+        })
     }
 
     /// Handles bytes that arrived on a caller's connection, and its end.
@@ -180,11 +190,12 @@
         id: CallId,
         mut response: Response,
     ) {
+        let mut out = self.reply_prefix(active.conn_key, ForwardReply::Response);
         let Some(pending) = self.pending_response(active, id) else {
             return;
         };
         response.closes_connection = pending.last;
-        let mut out = Vec::with_capacity(512 + response.body.len());
+        out.reserve(512 + response.body.len());
         response.encode(&mut out, active.is_head);
         pending.bytes = out;
         pending.progress = ResponseProgress::Complete;
@@ -247,6 +258,10 @@
         mut response: Response,
         form: ResponseForm,
     ) {
+        if self.forwarded(conn_key).is_some() {
+            self.decline_forwarded(now, conn_key);
+            return;
+        }
         self.metrics.count_own_response(response.status);
         response.closes_connection = form.last;
         let mut out = Vec::new();
--- a/crates/daemon/src/conn.rs
+++ b/crates/daemon/src/conn.rs
@@ -5,6 +5,7 @@
         admin::AdminConn,
         callers::CallerConn,
         channel::Channel,
+        forwards::ForwardConn,
         peers::{FetchClientConn, FetchServerConn},
         store_conn::StoreConn,
         workers::WorkerConn,
@@ -21,6 +22,8 @@
     Caller(CallerConn),
     /// This daemon fetches site changes from another.
     FetchClient(FetchClientConn),
+    /// This daemon forwards a request to another one.
+    Forward(ForwardConn),
     /// A lingering close: the sending side is shut down once all bytes are sent, and received bytes
     /// are dropped until the other end closes.
     Lingering,
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -171,6 +171,9 @@
                 WorkerPhase::Relaying(call) => self.is_relay_paused(call),
                 _ => false,
             },
+            ConnKind::Forward(forward) => {
+                forward.is_relaying() && self.is_relay_paused(forward.call)
+            }
             ConnKind::Caller(caller) => {
                 caller.pipeline.len() >= MAX_PIPELINED
                     || conn.channel.unsent_len() >= MAX_UNSENT_BYTES
@@ -219,6 +222,7 @@
             ConnKind::Admin(_) => self.admin_read(now, conn_key, bytes, ending),
             ConnKind::Caller(_) => self.caller_read(now, conn_key, bytes, ending),
             ConnKind::FetchClient(_) => self.fetch_client_read(now, conn_key, bytes, ending),
+            ConnKind::Forward(_) => self.forward_read(now, conn_key, bytes, ending),
             ConnKind::Lingering => {
                 if ending.is_some() {
                     self.remove_conn(conn_key);
@@ -265,6 +269,7 @@
             }
             ConnKind::Caller(_) => self.caller_timeout(now, conn_key),
             ConnKind::FetchClient(_) => self.end_fetch(conn_key),
+            ConnKind::Forward(_) => self.forward_timeout(now, conn_key),
             ConnKind::Store(_) => self.store_timeout(now, conn_key),
             ConnKind::Worker(_) => self.worker_timeout(now, conn_key),
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,8 @@
 mod dump;
 mod error;
 mod explain;
+mod forwards;
+mod helping;
 mod io_events;
 mod listeners;
 mod log;
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -57,6 +57,9 @@
     407 DELIVERED "delivered";
     408 RELAYED "relayed";
     409 RELAY_BROKEN "relay-broken";
+    410 FORWARDED "forwarded";
+    411 FORWARD_DECLINED "forward-declined";
+    412 FORWARD_TAKEN "forward-taken";
     500 ACCEPT_FAILED "accept-failed";
     501 TURN_SLOW "turn-slow";
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -20,6 +20,8 @@
 /// The metrics of the daemon, in a registry of their own.
 #[derive(Debug)]
 pub(crate) struct Metrics {
+    /// Requests between daemons, by what happened to them.
+    forwards: IntCounterVec,
     /// Heartbeats sent to other daemons.
     pub(crate) heartbeats: IntCounter,
     /// Connections opened to workers.
@@ -72,6 +74,12 @@
         );
         let turns = turns.buckets(TURN_BUCKETS_S.to_vec());
         Self {
+            forwards: counter_vec(
+                &registry,
+                "forwards_total",
+                "Requests forwarded to and by other daemons",
+                "step",
+            ),
             heartbeats: counter(
                 &registry,
                 "heartbeats_total",
@@ -159,6 +167,12 @@
         self.routed.with_label_values(&[kind.name()]).inc();
     }
 
+    /// Counts a step of a request between daemons: `sent` and `declined` at the daemon that
+    /// forwards it, `taken` and `refused` at its helper.
+    pub(crate) fn count_forward(&self, step: &str) {
+        self.forwards.with_label_values(&[step]).inc();
+    }
+
     /// Counts a decision about a request.
     pub(crate) fn count_decision(&self, decision: &Decision) {
         match decision {
@@ -167,6 +181,8 @@
                 self.sends.with_label_values(&[repeat]).inc();
             }
             Decision::Backoff(_) => self.waits.inc(),
+            Decision::Declined(_) => self.count_forward("declined"),
+            Decision::Forwarded(_) => self.count_forward("sent"),
             Decision::Skipped {
                 failure: Some(failure),
                 ..
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -4,7 +4,7 @@
     crate::{conn::ConnKind, constants::FETCH_TIMEOUT, daemon::Daemon, log_event},
     peer::{
         CoarseAge, FetchRequest, FrameCodec, Heartbeat, LIMITS_ONE_IN, LimitEntry, MAX_CRASHES,
-        MAX_LIMITS, OwnState, RosterAction, Stage, Watch,
+        MAX_LIMITS, MAX_UNREACHED, News, OwnState, PeerRequest, RosterAction, Stage, Watch,
     },
     pick::LimitNews,
     poison::CrashNews,
@@ -29,7 +29,7 @@
     codec: FrameCodec,
 }
 
-/// A connection on which another daemon fetches site changes from this one.
+/// A connection on which another daemon fetches site changes from this one, or forwards a request.
 #[derive(Debug)]
 pub(crate) struct FetchServerConn {
     /// Whether the request was answered; what follows it is dropped.
@@ -37,6 +37,13 @@
     codec: FrameCodec,
 }
 
+impl FetchServerConn {
+    /// Takes what was received after the request.
+    pub(crate) fn take_rest(&mut self) -> Vec<u8> {
+        self.codec.take_rest()
+    }
+}
+
 impl Daemon {
     /// This daemon's state as its heartbeats report it.
     pub(crate) fn own_state(&self) -> OwnState {
@@ -61,11 +68,11 @@
         self.settle_view(now);
         // Once a tick: each change costs a pass over the daemons for every worker that names a limit.
         self.update_table_members();
+        self.update_helpers(now);
         let own = self.own_state();
         let mut actions = self.roster.tick(now, &own);
         self.ticks += 1;
-        self.add_limits(now, &mut actions);
-        self.add_crashes(now, &mut actions);
+        self.add_news(now, &mut actions);
         self.run_roster_actions(now, actions);
         self.update_store_role(now);
         self.log_peer_changes(now);
@@ -78,11 +85,29 @@
         self.prune_pools();
     }
 
-    /// Adds what workers told this daemon of their limits to the heartbeats of one tick in
+    /// Adds what this daemon learned of workers to the heartbeats of a tick.
+    fn add_news(&mut self, now: Time, actions: &mut [RosterAction]) {
+        let limits = self.limit_entries(now);
+        let bars = self.bar_news(now);
+        for action in actions {
+            if let RosterAction::Send(_, heartbeat) = action {
+                // Of much news of crashes, each heartbeat gets another part.
+                let mut crashes = self.dispatcher.crash_news(now, MAX_CRASHES - bars.len());
+                crashes.extend(&bars);
+                heartbeat.add_news(News {
+                    crashes,
+                    limits: limits.clone(),
+                    unreached: Vec::new(),
+                });
+            }
+        }
+    }
+
+    /// What workers told this daemon of their limits, for the heartbeats of one tick in
     /// [`LIMITS_ONE_IN`].
-    fn add_limits(&mut self, now: Time, actions: &mut [RosterAction]) {
+    fn limit_entries(&mut self, now: Time) -> Vec<LimitEntry> {
         if !self.ticks.is_multiple_of(LIMITS_ONE_IN) {
-            return;
+            return Vec::new();
         }
         let news = self.dispatcher.limit_news(now, MAX_LIMITS);
         let entry = |news: &LimitNews| LimitEntry {
@@ -90,32 +115,31 @@
             rate: news.rate,
             run: news.run,
         };
-        for action in actions {
-            if let RosterAction::Send(_, heartbeat) = action {
-                heartbeat.limits = news.iter().map(entry).collect();
-            }
-        }
+        news.iter().map(entry).collect()
     }
 
-    /// Adds what this daemon learned lately of requests that crash workers to the heartbeats of a
-    /// tick, to each another part if it is much; once a second also what bars one of them, for
-    /// daemons that have just started.
-    fn add_crashes(&mut self, now: Time, actions: &mut [RosterAction]) {
-        if self.dispatcher.crash_log().is_empty() {
-            return;
+    /// Once a second, what bars a request that crashes workers, for daemons that have just started.
+    fn bar_news(&self, now: Time) -> Vec<CrashNews> {
+        if !self.ticks.is_multiple_of(LIMITS_ONE_IN) {
+            return Vec::new();
         }
         let turn = self.ticks / LIMITS_ONE_IN;
-        let bars = if self.ticks.is_multiple_of(LIMITS_ONE_IN) {
-            self.dispatcher.crash_log().barred_news(now, turn as usize)
-        } else {
-            Vec::new()
-        };
-        for action in actions {
-            if let RosterAction::Send(_, heartbeat) = action {
-                heartbeat.crashes = self.dispatcher.crash_news(now, MAX_CRASHES - bars.len());
-                heartbeat.crashes.extend(&bars);
-            }
-        }
+        self.dispatcher.crash_log().barred_news(now, turn as usize)
+    }
+
+    /// Tells the dispatcher which daemons may take requests of this one: those that are alive, ready
+    /// and of the same region.
+    fn update_helpers(&mut self, now: Time) {
+        let settings = &self.settings;
+        let region = |centre: &Name| settings.region_of(centre);
+        let members = self.roster.members().values();
+        let near = members.filter(|member| {
+            member.stage == Stage::Ready
+                && self.roster.is_alive(member, now)
+                && region(&member.centre) == Some(&settings.region)
+        });
+        let helpers = near.map(|member| (member.ip, member.centre == settings.centre));
+        self.dispatcher.helpers.set_members(helpers);
     }
 
     /// Adopts what another daemon learned of requests that crash workers.
@@ -144,7 +168,13 @@
         for action in actions {
             match action {
                 RosterAction::Fetch(ip) => self.start_fetch(now, ip),
-                RosterAction::Send(ip, heartbeat) => self.send_heartbeat(now, ip, &heartbeat),
+                RosterAction::Send(ip, mut heartbeat) => {
+                    heartbeat.add_news(News {
+                        unreached: self.dispatcher.unreached(MAX_UNREACHED),
+                        ..News::default()
+                    });
+                    self.send_heartbeat(now, ip, &heartbeat);
+                }
             }
         }
     }
@@ -203,8 +233,9 @@
         let ConnKind::FetchServer(server) = &mut conn.kind else {
             return;
         };
-        match server.codec.decode::<FetchRequest>() {
-            Ok(Some(request)) => {
+        match server.codec.decode::<PeerRequest>() {
+            Ok(Some(PeerRequest::Forward(request))) => self.accept_forward(now, conn_key, request),
+            Ok(Some(PeerRequest::Fetch(request))) => {
                 server.answered = true;
                 let changes = self.view.changes_since(&request.revs);
                 match FrameCodec::encode(&changes) {
@@ -278,7 +309,7 @@
         }
     }
 
-    fn peer_address(&self, ip: Ipv4Addr) -> SocketAddrV4 {
+    pub(crate) fn peer_address(&self, ip: Ipv4Addr) -> SocketAddrV4 {
         SocketAddrV4::new(ip, self.settings.peer_ports.0)
     }
 
@@ -317,8 +348,12 @@
         let own = self.own_state();
         let actions = self.roster.handle_heartbeat(now, &heartbeat, &own);
         self.run_roster_actions(now, actions);
-        self.adopt_limits(now, &heartbeat.limits);
-        self.adopt_crashes(now, &heartbeat.crashes);
+        let news = heartbeat.news.unwrap_or_default();
+        self.dispatcher
+            .helpers
+            .record_report(now, heartbeat.ip, &news.unreached);
+        self.adopt_limits(now, &news.limits);
+        self.adopt_crashes(now, &news.crashes);
     }
 
     /// Starts fetching site changes from a daemon, unless a fetch is in progress.
@@ -326,9 +361,9 @@
         if self.fetching {
             return;
         }
-        let request = FetchRequest {
+        let request = PeerRequest::Fetch(FetchRequest {
             revs: self.view.revs(),
-        };
+        });
         let Ok(bytes) = FrameCodec::encode(&request) else {
             return;
         };
@@ -347,7 +382,7 @@
     }
 
     /// Closes the connection of a daemon that sent a message which can't be handled.
-    fn reject_peer(&mut self, now: Time, conn_key: usize, reason: &str) {
+    pub(crate) fn reject_peer(&mut self, now: Time, conn_key: usize, reason: &str) {
         self.remove_conn(conn_key);
         self.log_event(
             now,
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -44,6 +44,22 @@
         }
     }
 
+    /// Closes the idle connections to a service's workers.
+    pub(crate) fn close_idle(&mut self, service: &str) {
+        let table = &self.dispatcher.table;
+        let of_service = |key: &WorkerKey| {
+            let record = table.get(*key);
+            record.is_some_and(|record| &*record.worker.service == service)
+        };
+        let pools = self.pools.iter_mut().filter(|(key, _)| of_service(key));
+        let idle: Vec<usize> = pools
+            .flat_map(|(_, pool)| std::mem::take(&mut pool.idle))
+            .collect();
+        for conn_key in idle {
+            self.close_worker(conn_key);
+        }
+    }
+
     /// Opens a connection to a worker. `None` if the worker or its service is unknown, the system
     /// refuses to connect, or this daemon has used up its share of the worker's connections, which
     /// is at least one.
--- a/crates/daemon/src/relays.rs
+++ b/crates/daemon/src/relays.rs
@@ -15,10 +15,11 @@
         AttemptEnding, AttemptReport, CallError, CallEvent, CallId, Relay, RelayFailure,
         keeps_whole,
     },
+    forward::ForwardReply,
     platform::read_response_head,
     serde_json::json,
     unit::Time,
-    wire::BodyCoding,
+    wire::{BodyCoding, ResponseReader},
 };
 
 /// A response that is being passed on to its caller.
@@ -73,6 +74,15 @@
         }
     }
 
+    /// The reader of a connection on which a worker's response arrives, from it or from a helper.
+    fn response_reader(&mut self, conn_key: usize) -> Option<&mut ResponseReader> {
+        match &mut self.conns.get_mut(conn_key)?.kind {
+            ConnKind::Forward(conn) => Some(&mut conn.reader),
+            ConnKind::Worker(worker) => Some(&mut worker.reader),
+            _ => None,
+        }
+    }
+
     /// Begins to pass on the response on a worker's connection, as the dispatcher decided.
     pub(crate) fn start_relay(
         &mut self,
@@ -83,22 +93,24 @@
     ) {
         let relay = Relay::new(active.deadline, now);
         let next_check = relay.next_check();
-        let Some(worker) = self.worker_conn(worker_key) else {
+        let prefix = self.reply_prefix(active.conn_key, ForwardReply::Response);
+        let Some(reader) = self.response_reader(worker_key) else {
             return;
         };
-        let Some(partial) = worker.reader.partial() else {
+        let Some(partial) = reader.partial() else {
             return;
         };
         let coding = partial
             .length
             .map_or(BodyCoding::Chunked, BodyCoding::Sized);
         let mut head = partial.head.clone();
-        let body = worker.reader.take_body();
+        let body = reader.take_body();
         let Some(pending) = self.pending_response(&active, call) else {
             self.close_worker(worker_key);
             return;
         };
         head.closes_connection = pending.last;
+        pending.bytes = prefix;
         head.encode_head(&mut pending.bytes, coding);
         pending.progress = ResponseProgress::Partial;
         let response = RelayedResponse {
@@ -198,6 +210,9 @@
         if is_front {
             self.cut_caller(now, active.conn_key);
         } else {
+            if self.reply_to_peer(now, &active, call, CallError::Lost) {
+                return;
+            }
             let error = error_response(CallError::Lost, &active.id);
             self.metrics.count_own_response(error.status);
             self.respond_to_caller(now, &active, call, error);
@@ -263,8 +278,9 @@
 
     /// How many bytes of responses are in memory: those that are still arriving, and those that
     /// callers have yet to take.
-    fn buffered_bytes(&self) -> usize {
+    pub(crate) fn buffered_bytes(&self) -> usize {
         let of_conn = |conn: &crate::conn::Conn| match &conn.kind {
+            ConnKind::Forward(conn) => conn.reader.partial().map_or(0, |part| part.buffered),
             ConnKind::Worker(worker) => worker.reader.partial().map_or(0, |part| part.buffered),
             ConnKind::Caller(caller) => {
                 let waiting = caller.pipeline.iter().map(PendingResponse::len);
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -19,6 +19,8 @@
     pub(crate) deadline: Time,
     /// By what the request is known when it comes again.
     pub(crate) fingerprint: Fingerprint,
+    /// Whether another daemon forwarded it.
+    pub(crate) forwarded: bool,
     /// When the request was read.
     pub(crate) started: Time,
     /// Whether this is a HEAD request, whose response has no body.
@@ -43,10 +45,12 @@
             CallAction::Deliver(call, link) => self.deliver(now, call, link),
             CallAction::Connect { link, worker } => self.connect_link(now, link, worker),
             CallAction::Fail(call, error) => self.fail_call(now, call, error),
+            CallAction::Forward { .. } => self.forward(now, &action),
             CallAction::Release(link) => self.release_link(now, link),
             CallAction::Send(call, link, time_left) => {
                 self.send_request(now, call, link, time_left)
             }
+            CallAction::Try { link, worker } => self.try_worker(now, link, worker),
         }
     }
 
@@ -64,7 +68,12 @@
                 self.start_relay(now, call, active, conn_key);
                 return;
             }
-            None => problem_response(502, "the answer is no longer there", Some(&active.id), None),
+            None => {
+                if self.reply_to_peer(now, &active, call, CallError::Lost) {
+                    return;
+                }
+                problem_response(502, "the answer is no longer there", Some(&active.id), None)
+            }
         };
         let fields = json!({
             "request": active.id,
@@ -81,6 +90,9 @@
         let Some(active) = self.calls.remove(&call) else {
             return;
         };
+        if self.reply_to_peer(now, &active, call, error) {
+            return;
+        }
         let response = error_response(error, &active.id);
         self.metrics.count_own_response(response.status);
         self.respond_to_caller(now, &active, call, response);
@@ -141,6 +153,7 @@
     pub(crate) fn log_reach_changes(&mut self, now: Time) {
         for change in self.dispatcher.take_reach_changes() {
             let event = if change.cut {
+                self.close_idle(&change.service);
                 log_event::WORKERS_UNREACHED
             } else {
                 log_event::WORKERS_REACHED
@@ -169,7 +182,14 @@
                     "load": load.map(load_json),
                 }),
             ),
+            Decision::Declined(helper) => (
+                log_event::FORWARD_DECLINED,
+                json!({"helper": helper.to_string()}),
+            ),
             Decision::Failed(error) => (log_event::REFUSED, error_json(*error)),
+            Decision::Forwarded(helper) => {
+                (log_event::FORWARDED, json!({"helper": helper.to_string()}))
+            }
             Decision::Sent {
                 prior_sends,
                 cold,
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -82,6 +82,20 @@
         self.start_probe(now, conn_key, link);
     }
 
+    /// Sends a health probe to a worker on a new connection, to learn whether new ones are accepted.
+    pub(crate) fn try_worker(&mut self, now: Time, link: LinkId, worker: WorkerKey) {
+        match self.open_worker(now, worker) {
+            Some(conn_key) => {
+                self.metrics.probes.inc();
+                self.start_probe(now, conn_key, link);
+            }
+            None => {
+                let failed = CallEvent::ProbeEnded(link, Err(ProbeFailure::NoConnection));
+                self.call_events.push_back(failed);
+            }
+        }
+    }
+
     /// Reserves a connection without a probe: an idle one that was used within
     /// [`MAX_UNPROBED_IDLE`], or a new one.
     pub(crate) fn connect_link(&mut self, now: Time, link: LinkId, worker: WorkerKey) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -1,5 +1,14 @@
-//! Requests that a daemon passes on to another one, since it can't reach the workers itself.
+//! Requests that a daemon passes on to another one, its *helper*, since it can't reach the workers
+//! itself: when it does so, to whom, and what a helper takes.
 
+mod helpers;
+mod intake;
+mod message;
 mod reach;
 
-pub use reach::Reach;
+pub use {
+    helpers::{Helpers, service_hash},
+    intake::Intake,
+    message::{ForwardReply, ForwardRequest},
+    reach::Reach,
+};
--- a/crates/forward/tests/reach.rs
+++ b/crates/forward/tests/reach.rs
@@ -44,7 +44,7 @@
 fn a_worker_that_responds_ends_the_count() {
     let mut reach = Reach::default();
     assert!(!cut_after(&mut reach, 6));
-    assert!(!reach.record_reached());
+    reach.record_reached();
     assert!(!cut_after(&mut reach, 6));
 }
 
--- a/crates/peer/src/fetch.rs
+++ b/crates/peer/src/fetch.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{PeerError, codec, decode, encode},
+    forward::ForwardRequest,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     site::Revs,
 };
@@ -16,6 +17,15 @@
     pub revs: Revs,
 }
 
+/// What a daemon asks of another one on a connection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// The site changes that it lacks.
+    Fetch(FetchRequest),
+    /// To have the request served that follows.
+    Forward(ForwardRequest),
+}
+
 /// Encodes messages into frames and decodes frames from a stream. A frame is the length of the
 /// message as four bytes, big-endian, and then the message.
 #[derive(Debug, Default)]
@@ -47,6 +57,11 @@
         Ok(Some(message))
     }
 
+    /// Takes what was received after the last message.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.0)
+    }
+
     /// Encodes a message into a frame.
     ///
     /// # Errors
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -17,6 +17,9 @@
 /// Heartbeats hold at most this many pieces of news of requests that crash workers.
 pub const MAX_CRASHES: usize = 8;
 
+/// Heartbeats name at most this many services that the sender can't reach.
+pub const MAX_UNREACHED: usize = 16;
+
 /// What the sender of a heartbeat last heard about a third daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GossipEntry {
@@ -39,6 +42,17 @@
     pub run: u32,
 }
 
+/// What a daemon tells others of workers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// What it learned lately of requests that crash workers.
+    pub crashes: Vec<CrashNews>,
+    /// Limits that workers name; not all of them, and only in some heartbeats.
+    pub limits: Vec<LimitEntry>,
+    /// The hashes of the services whose workers it can't reach.
+    pub unreached: Vec<u32>,
+}
+
 /// Name and address of a daemon that the receiver may not know.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
@@ -58,8 +72,6 @@
     pub staleness: Span,
     /// The sender's data centre.
     pub centre: Name,
-    /// What the sender learned lately of requests that crash workers.
-    pub crashes: Vec<CrashNews>,
     /// Daemons that the sender knows; empty unless the receiver is new to it or asked for them.
     pub contacts: Vec<Contact>,
     /// The number of this heartbeat, counted from 1 since the sender's start.
@@ -69,10 +81,10 @@
     /// A random number that the sender draws at its start; it tells a restarted daemon from the
     /// earlier process run.
     pub incarnation: u32,
-    /// Limits that workers name; not all of them, and only in some heartbeats.
-    pub limits: Vec<LimitEntry>,
     /// The sender's name.
     pub name: Name,
+    /// What the sender learned of workers; `None` if it has nothing to tell.
+    pub news: Option<Box<News>>,
     /// The revisions up to which the sender knows the site.
     pub revs: Revs,
     /// What the sender last heard about other daemons; not all of them in every heartbeat.
@@ -85,3 +97,16 @@
     /// The state of the sender's watch on the store.
     pub watch: Watch,
 }
+
+impl Heartbeat {
+    /// Adds what the sender learned of workers.
+    pub fn add_news(&mut self, news: News) {
+        if news == News::default() {
+            return;
+        }
+        let own = self.news.get_or_insert_default();
+        own.crashes.extend(news.crashes);
+        own.limits.extend(news.limits);
+        own.unreached.extend(news.unreached);
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -19,9 +19,10 @@
     coarse_age::CoarseAge,
     codec::{decode, encode},
     error::PeerError,
-    fetch::{FetchRequest, FrameCodec},
+    fetch::{FetchRequest, FrameCodec, PeerRequest},
     heartbeat::{
         Contact, GossipEntry, Heartbeat, LIMITS_ONE_IN, LimitEntry, MAX_CRASHES, MAX_LIMITS,
+        MAX_UNREACHED, News,
     },
     member::Member,
     roster::{HEARTBEAT_PERIOD, OwnState, Roster, RosterAction},
--- a/crates/peer/tests/fleet/harness.rs
+++ b/crates/peer/tests/fleet/harness.rs
@@ -2,7 +2,9 @@
 
 use {
     fastrand::Rng,
-    peer::{HEARTBEAT_PERIOD, MAX_CRASHES, OwnState, Roster, RosterAction, Stage, Watch, encode},
+    peer::{
+        HEARTBEAT_PERIOD, MAX_CRASHES, News, OwnState, Roster, RosterAction, Stage, Watch, encode,
+    },
     poison::CrashLog,
     site::Revs,
     std::net::Ipv4Addr,
@@ -120,7 +122,13 @@
         node.crash_log.prune(now);
         for action in &mut actions {
             if let RosterAction::Send(_, heartbeat) = action {
-                heartbeat.crashes = node.crash_log.news(now, MAX_CRASHES);
+                let crashes = node.crash_log.news(now, MAX_CRASHES);
+                heartbeat.news = (!crashes.is_empty()).then(|| {
+                    Box::new(News {
+                        crashes,
+                        ..News::default()
+                    })
+                });
             }
         }
         actions
@@ -147,7 +155,7 @@
             self.nodes[from].bytes += bytes;
             let node = &mut self.nodes[to];
             node.bytes += bytes;
-            for news in &heartbeat.crashes {
+            for news in heartbeat.news.iter().flat_map(|news| &news.crashes) {
                 node.crash_log.adopt(self.now, *news);
             }
             let actions = node
--- a/crates/peer/tests/fleet/messages.rs
+++ b/crates/peer/tests/fleet/messages.rs
@@ -3,8 +3,8 @@
 use {
     crate::harness::{ip, name},
     peer::{
-        CoarseAge, FetchRequest, FrameCodec, GossipEntry, Heartbeat, LimitEntry, Stage, Watch,
-        decode, encode,
+        CoarseAge, FetchRequest, FrameCodec, GossipEntry, Heartbeat, LimitEntry, News, PeerRequest,
+        Stage, Watch, decode, encode,
     },
     poison::{CrashNews, Fingerprint},
     quickcheck::quickcheck,
@@ -16,7 +16,7 @@
     fn arbitrary_bytes_do_not_panic_the_codec(bytes: Vec<u8>) -> bool {
         let mut codec = FrameCodec::default();
         codec.push(&bytes);
-        let _ = codec.decode::<FetchRequest>();
+        let _ = codec.decode::<PeerRequest>();
         decode::<Heartbeat>(&bytes).is_err() || bytes.len() > 8
     }
 
@@ -35,20 +35,23 @@
             staleness: Span::millis(u64::from(sequence)),
             centre: "a".into(),
             contacts: Vec::new(),
+            sequence,
+            ip: ip(1),
+            incarnation,
+            name: name(1),
+            news: Some(Box::new(News {
             crashes: vec![CrashNews {
                 age: Span::millis(u64::from(sequence)),
                 request: Fingerprint(u64::from(sequence) << 32),
                 run: Some(incarnation),
             }],
-            sequence,
-            ip: ip(1),
-            incarnation,
             limits: vec![LimitEntry {
                 age: CoarseAge::new(Span::millis(u64::from(sequence))),
                 rate: Rate::per_second(f64::from(sequence) / 10.0),
                 run: incarnation,
             }],
-            name: name(1),
+                unreached: vec![incarnation],
+            })),
             revs: Revs::default(),
             gossip: entries
                 .into_iter()
@@ -78,19 +81,16 @@
 
 #[test]
 fn a_frame_decodes_once_it_is_complete_and_one_that_is_too_long_is_rejected() {
-    let request = FetchRequest {
+    let request = PeerRequest::Fetch(FetchRequest {
         revs: Revs::default(),
-    };
+    });
     let bytes = FrameCodec::encode(&request).expect("a small message");
     let mut codec = FrameCodec::default();
     for byte in &bytes {
-        assert_eq!(codec.decode::<FetchRequest>().expect("valid"), None);
+        assert_eq!(codec.decode::<PeerRequest>().expect("valid"), None);
         codec.push(&[*byte]);
     }
-    assert_eq!(
-        codec.decode::<FetchRequest>().expect("valid"),
-        Some(request)
-    );
+    assert_eq!(codec.decode::<PeerRequest>().expect("valid"), Some(request));
     codec.push(&[255; 8]);
-    assert!(codec.decode::<FetchRequest>().is_err());
+    assert!(codec.decode::<PeerRequest>().is_err());
 }
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -308,8 +308,7 @@
     pub(crate) fn record_health(&mut self, now: Time, health: &HealthReport) {
         self.probed_at = Some(now);
         self.unprobed = 0;
-        self.backoff_exponent = 0;
-        self.backoff_until = Time::ZERO;
+        self.end_backoff();
         self.unhealthy = !health.healthy;
         self.cold_until = now + health.cold_remaining;
         if let Some(load) = health.load {
@@ -348,6 +347,11 @@
         self.backoff_exponent = (self.backoff_exponent + 1).min(MAX_BACKOFF_EXPONENT);
     }
 
+    pub(crate) fn end_backoff(&mut self) {
+        self.backoff_exponent = 0;
+        self.backoff_until = Time::ZERO;
+    }
+
     pub(crate) fn record_failure(&mut self, now: Time) {
         self.failure_penalty = self.failure_penalty(now) + 1.0;
         self.penalty_at = now;
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -342,6 +342,16 @@
         }
     }
 
+    /// Ends the backoffs of a service's workers, since they didn't fail by themselves.
+    pub fn end_backoffs(&mut self, service: &str) {
+        let keys = self.services.get(service).map(Vec::as_slice);
+        for key in keys.unwrap_or_default() {
+            if let Some(record) = self.records.get_mut(key) {
+                record.end_backoff();
+            }
+        }
+    }
+
     /// Records that another worker responds at a worker's address. This counts as four failures in
     /// a row, which gives a backoff of at least 2 s.
     pub fn record_misdirected(&mut self, key: WorkerKey, now: Time) {
--- a/crates/standin/src/fuzz/target.rs
+++ b/crates/standin/src/fuzz/target.rs
@@ -6,8 +6,10 @@
     conf::ServiceFile,
     derive_more::Display,
     fastrand::Rng,
+    forward::{ForwardReply, ForwardRequest},
     peer::{
-        CoarseAge, FetchRequest, FrameCodec, GossipEntry, Heartbeat, LimitEntry, Roster, Stage,
+        CoarseAge, FetchRequest, FrameCodec, GossipEntry, Heartbeat, LimitEntry, News, PeerRequest,
+        Roster, Stage,
     },
     pick::{LimitNews, WorkerTable},
     platform::{
@@ -71,9 +73,15 @@
             ))],
             Self::Fetch => vec![
                 frame(&vec![change()]),
-                frame(&FetchRequest {
+                frame(&PeerRequest::Forward(ForwardRequest {
+                    attempts: 2,
+                    config: 7,
+                    service: "gallery".into(),
+                })),
+                frame(&ForwardReply::NotRun(Span::millis(40))),
+                frame(&PeerRequest::Fetch(FetchRequest {
                     revs: Revs::default(),
-                }),
+                })),
             ],
             Self::Heartbeat => vec![peer::encode(&heartbeat()).unwrap_or_default()],
             Self::Request => requests(),
@@ -153,20 +161,23 @@
         staleness: Span::millis(20),
         centre: "a".into(),
         contacts: Vec::new(),
-        crashes: vec![CrashNews {
-            age: Span::millis(400),
-            request: Fingerprint(1 << 40),
-            run: Some(5),
-        }],
         sequence: 7,
         ip: Ipv4Addr::LOCALHOST,
         incarnation: 3,
-        limits: vec![LimitEntry {
-            age: CoarseAge::new(Span::millis(200)),
-            rate: Rate::per_second(2.5),
-            run: LimitNews::run_hash("w-0", 1),
-        }],
         name: "d-1".into(),
+        news: Some(Box::new(News {
+            crashes: vec![CrashNews {
+                age: Span::millis(400),
+                request: Fingerprint(1 << 40),
+                run: Some(5),
+            }],
+            limits: vec![LimitEntry {
+                age: CoarseAge::new(Span::millis(200)),
+                rate: Rate::per_second(2.5),
+                run: LimitNews::run_hash("w-0", 1),
+            }],
+            unreached: vec![11],
+        })),
         revs: Revs::default(),
         gossip: vec![GossipEntry {
             age: CoarseAge::new(Span::millis(300)),
@@ -263,7 +274,8 @@
     let mut view = View::default();
     for part in split(input, rng) {
         codec.push(part);
-        drop(codec.decode::<FetchRequest>());
+        drop(codec.decode::<PeerRequest>());
+        drop(codec.decode::<ForwardReply>());
         if let Ok(Some(changes)) = codec.decode::<Vec<Change>>() {
             apply(&mut view, changes);
         }
@@ -301,7 +313,7 @@
     drop(roster.tick(now() + Span::secs(1), &own));
     let mut table = WorkerTable::new("d-0".into(), "a".into());
     let key = table.upsert(worker(), now());
-    for entry in &heartbeat.limits {
+    for entry in heartbeat.news.iter().flat_map(|news| &news.limits) {
         let news = LimitNews {
             age: entry.age.span(),
             rate: entry.rate,
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -2,7 +2,10 @@
 
 use {
     conf::{Bounds, Listen, Settings},
-    std::net::{Ipv4Addr, SocketAddrV4},
+    std::{
+        collections::BTreeMap,
+        net::{Ipv4Addr, SocketAddrV4},
+    },
     unit::{Name, Span},
 };
 
@@ -13,6 +16,9 @@
 const OPERATORS_OFFSET: u16 = 3;
 const PEERS_OFFSET: u16 = 4;
 
+/// The region of all data centres.
+const REGION: &str = "region";
+
 /// Returns the settings of a daemon that listens on `ip`, on consecutive ports from `base` on.
 ///
 /// `seed` is the address of the daemon that it contacts first, before it knows any other.
@@ -49,7 +55,8 @@
         },
         name,
         peer_ports: (base + PEERS_OFFSET, base + PEERS_OFFSET),
-        region: "region".into(),
+        region: REGION.into(),
+        regions: BTreeMap::from(["a", "b"].map(|centre| (centre.into(), REGION.into()))),
         seeds: vec![seed],
         store,
     }
