Links that a cut resets are not taken for crashes of workers

What callers would see: where a cut resets the links of daemons, each request in flight is lost, and the check of its worker finds it down as well; after three such losses a healthy request (one host, method, path and body) is answered 503 by all daemons for ten minutes. Cause: a worker that accepts no connection was taken for one that has crashed, though a daemon that is cut off finds all of them down. Change: a crash counts once another worker of the service was reached, within a second of the check; it counts from the time of the check. A cut that is found drops what is suspected.

--- a/crates/call/src/candidates.rs
+++ b/crates/call/src/candidates.rs
@@ -29,7 +29,7 @@
         probe: Probe,
         health: &HealthReport,
     ) {
-        self.note_reached(probe.worker);
+        self.note_reached(now, probe.worker);
         if let Some(call) = self.calls.get_mut(&id) {
             call.reached = true;
         }
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -111,7 +111,7 @@
             self.table.record_unreachable(attempt.worker, now);
             self.note_failed(now, attempt.worker);
         } else {
-            self.note_reached(attempt.worker);
+            self.note_reached(now, attempt.worker);
         }
         self.table
             .record_outcome(attempt.worker, now, outcome, attempt.expected);
--- a/crates/call/src/crashes.rs
+++ b/crates/call/src/crashes.rs
@@ -11,6 +11,9 @@
     unit::{Span, Time},
 };
 
+/// How long a worker that is down may have crashed, until another one of its service is reached.
+const SUSPICION_LIFE: Span = Span::secs(1);
+
 /// A check whether a worker that broke off requests has crashed.
 #[derive(Clone, Debug)]
 pub(crate) struct Check {
@@ -21,6 +24,15 @@
     worker: WorkerKey,
 }
 
+/// A worker that accepted no connection after it broke off requests: it has crashed, or this daemon
+/// was cut off from it.
+#[derive(Clone, Debug)]
+pub(crate) struct Suspicion {
+    check: Check,
+    /// When it accepted no connection.
+    down_at: Time,
+}
+
 /// A crash of a worker, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WorkerCrash {
@@ -67,11 +79,56 @@
         if liveness != Liveness::Down {
             return;
         }
-        for request in check.requests {
-            let barred = self.crash_log.record_crash(now, request, check.run);
+        let down_at = now;
+        self.suspicions.push(Suspicion { check, down_at });
+    }
+
+    /// Counts the crashes of which a worker that was reached since shows that they aren't failures
+    /// of this daemon's links.
+    pub(crate) fn confirm_crashes(&mut self, now: Time, reached: WorkerKey) {
+        if self.suspicions.is_empty() {
+            return;
+        }
+        let Some(record) = self.table.get(reached) else {
+            return;
+        };
+        let service = record.worker.service.clone();
+        for suspicion in std::mem::take(&mut self.suspicions) {
+            let worker = suspicion.check.worker;
+            let record = self.table.get(worker);
+            let same = record.is_some_and(|record| record.worker.service == service);
+            if now.since(suspicion.down_at) >= SUSPICION_LIFE {
+                continue;
+            }
+            if same && worker != reached {
+                self.record_crashes(now, &suspicion);
+            } else {
+                self.suspicions.push(suspicion);
+            }
+        }
+    }
+
+    /// Drops the crashes that may be failures of this daemon's links to a service's workers.
+    pub(crate) fn drop_suspicions(&mut self, service: &str) {
+        let table = &self.table;
+        self.suspicions.retain(|suspicion| {
+            let record = table.get(suspicion.check.worker);
+            record.is_some_and(|record| &*record.worker.service != service)
+        });
+    }
+
+    fn record_crashes(&mut self, now: Time, suspicion: &Suspicion) {
+        let check = &suspicion.check;
+        for request in &check.requests {
+            let news = CrashNews {
+                age: now.since(suspicion.down_at),
+                request: *request,
+                run: Some(check.run),
+            };
+            let barred = self.crash_log.adopt(now, news);
             self.new_crashes.push(WorkerCrash {
                 barred,
-                request,
+                request: *request,
                 worker: Some(check.worker),
             });
         }
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -3,7 +3,7 @@
         Arrival, CallAction, CallError, CallEvent, CallId, Decision, DecisionRecord, LinkId,
         NoticeChange, Policy, ProbeFailure,
         call::{Call, Candidate},
-        crashes::{Check, WorkerCrash},
+        crashes::{Check, Suspicion, WorkerCrash},
         forwarding::Trial,
         reaching::ReachChange,
         split::Split,
@@ -52,6 +52,8 @@
     pub(crate) rng: Rng,
     /// The weighted split of each route, by the route's name.
     pub(crate) splits: Map<Name, Split>,
+    /// Workers that may have crashed.
+    pub(crate) suspicions: Vec<Suspicion>,
     /// What this daemon knows of the workers.
     pub table: WorkerTable,
     /// The crashes that [`Self::take_crashes`] has not yet returned.
@@ -87,6 +89,7 @@
             retry_budgets: Map::default(),
             rng,
             splits: Map::default(),
+            suspicions: Vec::new(),
             table,
             new_crashes: Vec::new(),
             notice_changes: Vec::new(),
@@ -152,7 +155,7 @@
             CallEvent::ForwardEnded(link, ending) => self.forward_ended(now, link, ending),
             CallEvent::Tick => self.run_timers(now),
             CallEvent::LateHealth(worker, health) => {
-                self.note_reached(worker);
+                self.note_reached(now, worker);
                 self.record_health(now, worker, &health);
             }
         }
--- a/crates/call/src/reaching.rs
+++ b/crates/call/src/reaching.rs
@@ -29,7 +29,8 @@
     }
 
     /// Notes that a worker responded, in whatever way.
-    pub(crate) fn note_reached(&mut self, worker: WorkerKey) {
+    pub(crate) fn note_reached(&mut self, now: Time, worker: WorkerKey) {
+        self.confirm_crashes(now, worker);
         let Some(record) = self.table.get(worker) else {
             return;
         };
@@ -68,6 +69,7 @@
         let reach = self.reaches.entry(service.clone()).or_default();
         let workers = || self.table.sendable(&service, now).len();
         if reach.record_failed(now, worker, workers) {
+            self.drop_suspicions(&service);
             self.reach_changes.push(ReachChange { cut: true, service });
         }
     }
--- a/crates/call/tests/dispatcher/crashes.rs
+++ b/crates/call/tests/dispatcher/crashes.rs
@@ -1,7 +1,7 @@
 //! Requests that are in flight at workers that crash.
 
 use {
-    crate::harness::{Harness, idle_health, route},
+    crate::harness::{Harness, idle_health, route, worker},
     call::{AttemptEnding, CallAction, CallError, CallEvent, LinkId, Liveness},
     poison::{CrashNews, Fingerprint},
     site::RouteKind,
@@ -81,16 +81,60 @@
     // Until there is a permit for the next probe.
     harness.advance(Span::millis(10));
     let second = harness.start_attempt(&route);
+    harness.dispatcher.table.upsert(worker("y"), harness.now);
     harness.end_attempt(first, AttemptEnding::Lost);
     let check = next_check(&mut harness);
     assert_eq!(harness.next_error(), CallError::Lost);
     harness.end_attempt(second, AttemptEnding::Lost);
     assert_eq!(harness.next_error(), CallError::Lost);
     harness.handle(CallEvent::CheckEnded(check, Liveness::Down));
+    answer_other(&mut harness);
     let crashes = harness.dispatcher.take_crashes();
     assert_eq!(crashes.len(), 2);
 }
 
+/// A request breaks off and its worker accepts no connection, after two crashes at other daemons.
+fn lose_after_two_crashes(harness: &mut Harness) {
+    let link = harness.start_attempt(&Arc::new(route("r", RouteKind::AtMostOnce)));
+    for run in 0..2 {
+        tell_crash(harness, run);
+    }
+    harness.end_attempt(link, AttemptEnding::Lost);
+    assert_eq!(harness.next_error(), CallError::Lost);
+    let check = next_check(harness);
+    harness.handle(CallEvent::CheckEnded(check, Liveness::Down));
+}
+
+/// Whether the first request is barred.
+fn first_barred(harness: &Harness) -> bool {
+    let log = harness.dispatcher.crash_log();
+    log.barred(harness.now, FIRST).is_some()
+}
+
+/// Lets another request's probe be answered.
+fn answer_other(harness: &mut Harness) {
+    harness.start_attempt(&Arc::new(route("r", RouteKind::Idempotent)));
+}
+
+#[test]
+fn links_that_a_cut_resets_are_held_against_no_request() {
+    let mut harness = Harness::new(&["x", "y", "z", "w"]);
+    lose_after_two_crashes(&mut harness);
+    harness.advance(Span::secs(2));
+    assert!(!first_barred(&harness), "no worker was reached since");
+    answer_other(&mut harness);
+    assert!(!first_barred(&harness), "the links were cut and are back");
+}
+
+#[test]
+fn a_crash_counts_once_another_worker_was_reached() {
+    let mut harness = Harness::new(&["x", "y", "z", "w"]);
+    lose_after_two_crashes(&mut harness);
+    harness.advance(Span::millis(100));
+    answer_other(&mut harness);
+    assert!(first_barred(&harness));
+}
+
 /// Whether the first request is barred after two crashes, an attempt with this ending and one more
 /// crash.
 fn barred_around(ending: AttemptEnding) -> bool {
