Tests of forwarding, for each promise over the hop; a lost attempt makes a request savable

One of them failed at first: a request whose worker had answered its probe and then broke it off in the cut was refused rather than forwarded, since that worker counted as reached; now a lost attempt ends that.

--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -50,7 +50,10 @@
         match report.ending {
             // A worker's error response, as at the deadline, doesn't show that the request may be run.
             AttemptEnding::Served => self.crash_log.record_served(now, fingerprint),
-            AttemptEnding::Lost => self.check_worker(&attempt, fingerprint),
+            AttemptEnding::Lost => {
+                call.reached = false;
+                self.check_worker(&attempt, fingerprint);
+            }
             _ => {}
         }
         let Some(call) = self.calls.get_mut(&id) else {
--- a/crates/call/tests/dispatcher/main.rs
+++ b/crates/call/tests/dispatcher/main.rs
@@ -10,6 +10,7 @@
 mod cold_start;
 mod crashes;
 mod failures;
+mod forwarding;
 mod harness;
 mod notices;
 mod overload;
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -210,6 +210,9 @@
             head,
             request,
         } = received;
+        if forwarded.is_some() {
+            self.record_taken(now, conn_key, &head.id);
+        }
         let id = CallId(self.next_call);
         self.next_call += 1;
         let Some(conn) = self.conns.get(conn_key) else {
--- a/crates/daemon/src/helping.rs
+++ b/crates/daemon/src/helping.rs
@@ -34,21 +34,15 @@
             let mut members = self.roster.members().values();
             members.any(|member| IpAddr::V4(member.ip) == *from)
         };
-        let Some(from) = from.ok().filter(known) else {
+        if !from.is_ok_and(|from| known(&from)) {
             self.reject_peer(now, conn_key, "a request was forwarded by a stranger");
             return;
-        };
+        }
         let kind = self.new_caller_conn(Some(request));
         if let Some(conn) = self.conns.get_mut(conn_key) {
             conn.kind = kind;
             self.caller_count += 1;
         }
-        self.metrics.count_forward("taken");
-        self.log_event(
-            now,
-            log_event::FORWARD_TAKEN,
-            json!({"peer": from.to_string()}),
-        );
         self.caller_read(now, conn_key, &rest, None);
     }
 
@@ -87,6 +81,16 @@
         intake.admits(forwarded)
     }
 
+    /// Logs and counts that this daemon takes a request that another one forwards.
+    pub(crate) fn record_taken(&mut self, now: Time, conn_key: usize, id: &str) {
+        self.metrics.count_forward("taken");
+        let conn = self.conns.get(conn_key);
+        let from = conn.and_then(|conn| conn.channel.sock.peer_addr().ok());
+        let from = from.map(|address| address.ip().to_string());
+        let fields = json!({"request": id, "elapsed_ms": 0, "peer": from});
+        self.log_event(now, log_event::FORWARD_TAKEN, fields);
+    }
+
     /// The frame that precedes a response on a connection of another daemon; nothing on a caller's.
     pub(crate) fn reply_prefix(&self, conn_key: usize, reply: ForwardReply) -> Vec<u8> {
         if self.forwarded(conn_key).is_none() {
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -164,6 +164,12 @@
         self.daemons[index].settings.listen.directory
     }
 
+    /// Returns the address on which a daemon listens for other daemons.
+    pub fn peer_address(&self, index: usize) -> SocketAddrV4 {
+        let settings = &self.daemons[index].settings;
+        SocketAddrV4::new(settings.ip, settings.peer_ports.0)
+    }
+
     /// Cuts a daemon off from all workers, or ends that for new connections. The fleet must have
     /// proxies.
     pub fn cut_from_workers(&self, index: usize, cut: Option<Cut>) {
