A worker whose entry comes back gets nothing for as long as it had asked

What the worker would see: it asks a daemon for rest, its entry goes (expired in an outage of the store, or spoiled by another writer) and is back within the time, and the daemon's requests reach it again. Cause: the delay stood in the worker's record alone, which is dropped with the entry; that it leaves was remembered, the delay wasn't. Change: both are remembered for a process run whose record was dropped. Evidence: a_worker_whose_entry_comes_back_still_gets_nothing_for_as_long_as_it_asked fails without the change, passes with it.

--- a/crates/call/tests/dispatcher/notices.rs
+++ b/crates/call/tests/dispatcher/notices.rs
@@ -230,3 +230,20 @@
     harness.advance(Span::secs(3));
     assert!(is_offered(&mut harness), "it may have ended its limit");
 }
+
+#[test]
+fn a_worker_whose_entry_comes_back_still_gets_nothing_for_as_long_as_it_asked() {
+    let mut harness = Harness::new(&["x"]);
+    let link = harness.start_attempt(&Arc::new(route("r", RouteKind::AtMostOnce)));
+    let asked = retry_after(Span::secs(5));
+    respond(&mut harness, link, AttemptEnding::NotRun, asked);
+    let (now, drain) = (harness.now, bounds().drain);
+    let table = &mut harness.dispatcher.table;
+    table.mark_removed("x", Departure::Lapsed, drain, now);
+    harness.advance(Span::secs(3));
+    harness.dispatcher.table.prune(harness.now);
+    harness.dispatcher.table.upsert(worker("x"), harness.now);
+    assert!(!is_offered(&mut harness));
+    harness.advance(Span::secs(2));
+    assert!(is_offered(&mut harness));
+}
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -80,7 +80,7 @@
     /// The requests that this daemon sends it, within its share of the limit that it names.
     pub(crate) request_budget: RequestBudget,
     /// Until when it wants nothing from this daemon.
-    retry_at: Time,
+    pub(crate) retry_at: Time,
     /// Whether it has said in a response that it leaves. Nothing that its entry says undoes that.
     pub(crate) said_leaving: bool,
     /// The hash of its process run, by which daemons tell each other of it.
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -11,8 +11,19 @@
 
 /// How old what is told to other daemons of a worker's limit may be.
 const NEWS_LIFE: Span = Span::secs(10);
-/// How long it is remembered that a worker that is gone said that it leaves.
-const LEFT_LIFE: Span = Span::secs(3_600);
+/// How long it is remembered what a worker that is gone had asked; not shorter than the longest
+/// delay that a worker may ask for.
+const ASKED_LIFE: Span = Span::secs(3_600);
+
+/// What a worker had asked of this daemon when its record was dropped.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    dropped_at: Time,
+    /// Whether it had said that it leaves.
+    leaving: bool,
+    /// Until when it wants nothing from this daemon.
+    retry_at: Time,
+}
 
 /// What a daemon knows of all workers, and its shares of the fleet-wide limits per worker.
 #[derive(Clone, Debug)]
@@ -29,9 +40,9 @@
     examined: Cell<u64>,
     /// The current key of each worker id.
     ids: Map<Name, WorkerKey>,
-    /// The process runs of workers that said that they leave and whose records were dropped, by id
-    /// and start time, and when. An older list of workers must not bring them back.
-    left: Map<(Name, u64), Time>,
+    /// What process runs of workers whose records were dropped had asked, by id and start time. It
+    /// holds on if their entries come back.
+    asked: Map<(Name, u64), Asked>,
     /// The registered daemons.
     fleet: Fleet,
     /// The next key to assign.
@@ -51,7 +62,7 @@
             evacuated: Set::default(),
             examined: Cell::new(0),
             ids: Map::default(),
-            left: Map::default(),
+            asked: Map::default(),
             next_key: 0,
             services: Map::default(),
         }
@@ -80,13 +91,14 @@
         let keys = self.services.entry(worker.service.clone()).or_default();
         keys.push(key);
         let draining = worker.state == WorkerState::Draining;
-        let said_leaving = self
-            .left
-            .contains_key(&(worker.id.clone(), worker.started_ms));
+        let run = (worker.id.clone(), worker.started_ms);
         let mut record = WorkerRecord::new(worker, now);
-        record.said_leaving = said_leaving;
+        if let Some(asked) = self.asked.get(&run) {
+            record.said_leaving = asked.leaving;
+            record.retry_at = asked.retry_at;
+        }
         // When it started to drain isn't known, so it gets no grace period.
-        record.leaving_until = (draining || said_leaving).then_some(now);
+        record.leaving_until = (draining || record.said_leaving).then_some(now);
         self.records.insert(key, record);
         key
     }
@@ -118,7 +130,8 @@
         for key in keys {
             self.remove(key, now);
         }
-        self.left.retain(|_, at| now.since(*at) < LEFT_LIFE);
+        self.asked
+            .retain(|_, asked| now.since(asked.dropped_at) < ASKED_LIFE);
     }
 
     /// Marks a data centre as evacuated, or ends its evacuation.
@@ -432,9 +445,14 @@
         let Some(record) = self.records.remove(&key) else {
             return;
         };
-        if record.said_leaving {
+        if record.said_leaving || record.retry_at > now {
             let run = (record.worker.id.clone(), record.worker.started_ms);
-            self.left.insert(run, now);
+            let asked = Asked {
+                dropped_at: now,
+                leaving: record.said_leaving,
+                retry_at: record.retry_at,
+            };
+            self.asked.insert(run, asked);
         }
         if self.ids.get(&record.worker.id) == Some(&key) {
             self.ids.remove(&record.worker.id);
