Trials of a daemon that is cut off leave workers alone that asked for it

What the worker would see: it asks a daemon for rest, the daemon is cut off from the others, or from all, and its trials reach the worker. Cause: a trial took any worker whose standing allows requests. Change: it asks may_send as selection does, so the limits that workers name count too. Evidence: a_worker_that_asked_to_be_left_alone_gets_no_trial fails without the change and passes with it.

--- a/crates/call/src/forwarding.rs
+++ b/crates/call/src/forwarding.rs
@@ -247,7 +247,8 @@
         if let Some(reach) = self.reaches.get_mut(&service) {
             reach.delay_trial(now, &mut self.rng);
         }
-        let workers = self.table.sendable(&service, now);
+        let mut workers = self.table.sendable(&service, now);
+        workers.retain(|worker| self.table.may_send(*worker, now));
         let Some(worker) = self.rng.choice(workers) else {
             return;
         };
--- a/crates/call/tests/dispatcher/forwarding.rs
+++ b/crates/call/tests/dispatcher/forwarding.rs
@@ -3,11 +3,11 @@
 use {
     crate::harness::{Harness, bounds, idle_health, route},
     call::{
-        Arrival, AttemptEnding, CallAction, CallError, CallEvent, CallId, ForwardEnding, Forwarded,
-        LinkId, Policy,
+        Arrival, AttemptEnding, AttemptReport, CallAction, CallError, CallEvent, CallId,
+        ForwardEnding, Forwarded, LinkId, Policy,
     },
     poison::Fingerprint,
-    site::{Route, RouteKind},
+    site::{Notice, Route, RouteKind},
     std::{net::Ipv4Addr, sync::Arc},
     unit::{Set, Span},
 };
@@ -38,6 +38,12 @@
 /// A dispatcher that is cut off from all workers and knows helpers.
 fn cut() -> Harness {
     let mut harness = helped();
+    cut_off(&mut harness);
+    harness
+}
+
+/// Lets all probes fail until the dispatcher is cut off.
+fn cut_off(harness: &mut Harness) {
     while !harness.dispatcher.is_cut("s") {
         harness.arrive(&reads());
         while let Some(action) = harness.actions.pop() {
@@ -49,7 +55,6 @@
     }
     harness.advance(Span::secs(1));
     harness.actions.clear();
-    harness
 }
 
 /// Takes the next action, which must forward a request. Returns the helper and the link.
@@ -239,3 +244,29 @@
     harness.answer_probe(link, idle_health());
     assert!(!harness.dispatcher.is_cut("s"));
 }
+
+#[test]
+fn a_worker_that_asked_to_be_left_alone_gets_no_trial() {
+    let mut harness = helped();
+    let link = harness.start_attempt(&writes());
+    let resting = harness.workers[&link];
+    let report = AttemptReport {
+        ending: AttemptEnding::NotRun,
+        load: None,
+        notice: Some(Notice {
+            retry_after: Some(Span::secs(30)),
+            ..Notice::default()
+        }),
+    };
+    harness.handle(CallEvent::AttemptEnded(link, report));
+    cut_off(&mut harness);
+    harness.advance(Span::secs(10));
+    let mut tried = 0;
+    for action in &harness.actions {
+        if let CallAction::Try { worker, .. } = action {
+            tried += 1;
+            assert_ne!(*worker, resting);
+        }
+    }
+    assert!(tried > 20, "{tried}");
+}
