A refusal counts as soon as its head has arrived

What the worker would see: it answers a daemon 503 with Retry-After, the response breaks off after its head (or never ends), and the daemon's next requests reach it as before. Cause: what a response asks was read once it was complete; one that broke off counted as lost, with nothing heard. Change: the delay is recorded when the head is there, if it names the request in flight. Stand-in workers that truncate do so to refusals too.

--- a/crates/call/src/call_event.rs
+++ b/crates/call/src/call_event.rs
@@ -6,7 +6,7 @@
     },
     pick::WorkerKey,
     poison::Fingerprint,
-    site::{HealthReport, Route},
+    site::{HealthReport, Notice, Route},
     std::sync::Arc,
     unit::{Name, Span},
 };
@@ -82,6 +82,8 @@
     ForwardEnded(LinkId, ForwardEnding),
     /// The time given by [`Dispatcher::next_tick`](crate::Dispatcher::next_tick) has come.
     Tick,
+    /// The head of a worker's response to a request has arrived, and asks something of its callers.
+    NoticeHeard(WorkerKey, Notice),
     /// A worker responded to a probe after the probe had been abandoned.
     LateHealth(WorkerKey, HealthReport),
 }
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -154,6 +154,9 @@
             CallEvent::ConnectEnded(link, result) => self.connect_ended(now, link, result),
             CallEvent::ForwardEnded(link, ending) => self.forward_ended(now, link, ending),
             CallEvent::Tick => self.run_timers(now),
+            CallEvent::NoticeHeard(worker, notice) => {
+                self.record_notice(now, worker, NoticeSource::Response, notice);
+            }
             CallEvent::LateHealth(worker, health) => {
                 self.note_reached(now, worker);
                 self.record_health(now, worker, &health);
--- a/crates/daemon/src/worker_responses.rs
+++ b/crates/daemon/src/worker_responses.rs
@@ -64,7 +64,10 @@
                 let part = worker.reader.take_body();
                 self.relay_body(now, call, &part, false);
             }
-            WorkerPhase::Sent { .. } => self.consider_relay(now, conn_key),
+            WorkerPhase::Sent { .. } => {
+                self.hear_refusal(now, conn_key);
+                self.consider_relay(now, conn_key);
+            }
             WorkerPhase::ProbeAbandoned | WorkerPhase::Probing(_) => {
                 let partial = worker.reader.partial();
                 if partial.is_some_and(|partial| partial.buffered > MAX_PROBE_BODY_BYTES) {
@@ -75,6 +78,25 @@
         }
     }
 
+    /// Reports for how long a worker that turns a request away wants nothing as soon as the head of
+    /// its response has arrived: the rest may never come.
+    fn hear_refusal(&mut self, now: Time, conn_key: usize) {
+        let Some(worker) = self.worker_conn(conn_key) else {
+            return;
+        };
+        let (WorkerPhase::Sent { id, .. }, Some(partial)) =
+            (&worker.phase, worker.reader.partial())
+        else {
+            return;
+        };
+        let head = read_response_head(partial.head);
+        let same_id = head.id.as_deref() == Some(&**id);
+        if same_id && head.notice.retry_after.is_some() {
+            let heard = CallEvent::NoticeHeard(worker.key, head.notice);
+            self.dispatch(now, heard);
+        }
+    }
+
     /// Handles the end of a response that was passed on while it arrived: `response` has the last
     /// part of its body.
     fn relay_ended(&mut self, now: Time, conn_key: usize, call: CallId, response: &Response) {
--- a/crates/daemon/tests/failures/notices.rs
+++ b/crates/daemon/tests/failures/notices.rs
@@ -4,7 +4,7 @@
     crate::support::{
         default_plan, new_caller, run_count, run_load, start_fleet, state_dump, wait_until,
     },
-    standin::{Execution, Fleet, Outcome},
+    standin::{Execution, Fleet, Outcome, WorkerFault},
     std::{
         thread,
         time::{Duration, Instant},
@@ -97,3 +97,20 @@
     let last = fleet.send(&mut caller, 0, "GET", "/pictures/1");
     assert_eq!(last.outcome, Outcome::Served);
 }
+
+#[test]
+fn a_refusal_that_breaks_off_after_its_head_has_the_worker_left_alone() {
+    let mut plan = default_plan();
+    plan.daemon_centres = vec!["a"];
+    plan.worker_centres = vec!["a"];
+    let fleet = Fleet::start(&plan).expect("a fleet");
+    fleet.workers[0].turn_away(Some(Span::secs(4)));
+    fleet.workers[0].set_fault(WorkerFault::Truncates);
+    let mut caller = new_caller("c");
+    for _ in 0..20 {
+        fleet.send(&mut caller, 0, "GET", "/pictures/1");
+        thread::sleep(Duration::from_millis(100));
+    }
+    // The users' rule allows two beside the one that was turned away.
+    assert!(fleet.executions.arrivals().len() <= 3);
+}
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -4,7 +4,7 @@
     crate::{
         execution_log::{Answer, Arrival, Execution, ExecutionLog},
         server::{Reply, Server, endless_body},
-        worker_fault::WorkerFault,
+        worker_fault::{WorkerFault, truncated},
     },
     platform::standin::{
         add_notice, health_response, misdirected_response, not_run_response, read_forwarded_head,
@@ -254,8 +254,14 @@
             };
             let mut response = not_run_response(Some(&id));
             add_notice(&mut response.headers, notice);
+            response.body = b"no room".to_vec();
             self.record_answer(arrival, notice);
-            return Reply::Response(response);
+            let fault = self.lock().fault;
+            return if fault == WorkerFault::Truncates {
+                truncated(&response)
+            } else {
+                Reply::Response(response)
+            };
         }
 
         let execution = self.executions.begin(Execution {
--- a/crates/standin/src/worker_fault.rs
+++ b/crates/standin/src/worker_fault.rs
@@ -77,12 +77,15 @@
             }
             Self::Hangs => Reply::Hang,
             Self::Resets => Reply::Close,
-            Self::Truncates => {
-                let mut bytes = Vec::new();
-                response.encode(&mut bytes, false);
-                bytes.pop();
-                Reply::RawBytes(bytes)
-            }
+            Self::Truncates => truncated(response),
         }
     }
 }
+
+/// The reply that is a response without its last byte.
+pub(crate) fn truncated(response: &Response) -> Reply {
+    let mut bytes = Vec::new();
+    response.encode(&mut bytes, false);
+    bytes.pop();
+    Reply::RawBytes(bytes)
+}
