A refusal of a health probe counts also after the probe was given up

What the worker would see: it turns away a daemon's probes with 503 and Retry-After, later than the daemon waits, and probes go on. Cause: a late response to a probe counted only if it named the worker, which one that turns away need not; in time, such a response counts. Change: the same for late ones: only a response that names another worker is dropped.

--- a/crates/daemon/src/worker_responses.rs
+++ b/crates/daemon/src/worker_responses.rs
@@ -7,6 +7,7 @@
         workers::{LinkState, WorkerPhase},
     },
     call::{AttemptEnding, AttemptReport, CallEvent, CallId, LinkId, Liveness, ProbeFailure},
+    pick::WorkerRecord,
     platform::{ResponseHead, read_health, read_response_head},
     site::HealthReport,
     unit::Time,
@@ -152,7 +153,7 @@
     }
 
     /// Handles the response to an abandoned probe: returns the connection to the pool or closes it,
-    /// and reports to the dispatcher if the response names the worker that the connection is for.
+    /// and reports to the dispatcher unless the response names another worker than the connection is for.
     pub(crate) fn late_health(
         &mut self,
         now: Time,
@@ -169,12 +170,13 @@
         } else {
             self.release_worker(now, conn_key);
         }
-        let expected = self
-            .dispatcher
-            .table
-            .get(key)
-            .map(|record| &record.worker.id);
-        if health.id.as_ref() == expected {
+        let record = self.dispatcher.table.get(key);
+        // A worker that turns a probe away may not name itself.
+        let other = |record: &WorkerRecord| {
+            let id = health.id.as_ref();
+            id.is_some_and(|id| *id != record.worker.id)
+        };
+        if record.is_some_and(|record| !other(record)) {
             self.dispatch(now, CallEvent::LateHealth(key, health));
         }
     }
--- a/crates/daemon/tests/failures/notices.rs
+++ b/crates/daemon/tests/failures/notices.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{
-        default_plan, new_caller, run_count, run_load, start_fleet, state_dump, wait_until,
+        default_plan, metric, new_caller, run_count, run_load, start_fleet, state_dump, wait_until,
     },
     standin::{Execution, Fleet, Outcome, WorkerFault},
     std::{
@@ -114,3 +114,28 @@
     // The users' rule allows two beside the one that was turned away.
     assert!(fleet.executions.arrivals().len() <= 3);
 }
+
+#[test]
+fn a_refusal_of_a_probe_that_was_given_up_has_the_worker_left_alone() {
+    let mut plan = default_plan();
+    plan.daemon_centres = vec!["a"];
+    plan.worker_centres = vec!["a"];
+    let fleet = Fleet::start(&plan).expect("a fleet");
+    let worker = &fleet.workers[0];
+    worker.turn_away(Some(Span::secs(4)));
+    // Longer than a daemon waits for the answer to a probe.
+    worker.set_fault(WorkerFault::RefusesProbes(Duration::from_millis(120)));
+    let mut caller = new_caller("c");
+    let began = Instant::now();
+    let mut send_until = |end: Duration| {
+        while began.elapsed() < end {
+            fleet.send(&mut caller, 0, "GET", "/pictures/1");
+            thread::sleep(Duration::from_millis(50));
+        }
+        metric(&fleet, 0, "anvilferry_probes_total")
+    };
+    // The users' rule counts from half a second after the refusal, and allows two.
+    let before = send_until(Duration::from_millis(700));
+    let probes = send_until(Duration::from_millis(2_500)) - before;
+    assert!(probes <= 2.0, "{probes} probes");
+}
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -224,8 +224,13 @@
     /// Responds to a health probe, or runs a request and responds to it.
     fn handle(&self, request: &Request, conn: &TcpStream) -> Reply {
         if request.path() == crate::config::HEALTH_PATH {
-            if self.lock().fault == WorkerFault::FloodsProbes {
-                return endless_body(&health_response(&self.health()));
+            let fault = self.lock().fault;
+            match fault {
+                WorkerFault::FloodsProbes => {
+                    return endless_body(&health_response(&self.health()));
+                }
+                WorkerFault::RefusesProbes(delay) => return self.refuse_probe(delay),
+                _ => {}
             }
             return Reply::Response(health_response(&self.health()));
         }
@@ -300,6 +305,18 @@
         }
     }
 
+    /// Turns a health probe away after a time, and asks for what [`Upstream::turn_away`] says.
+    fn refuse_probe(&self, delay: Duration) -> Reply {
+        thread::sleep(delay);
+        let mut response = not_run_response(None);
+        let notice = Notice {
+            retry_after: self.lock().turning_away,
+            ..Notice::default()
+        };
+        add_notice(&mut response.headers, notice);
+        Reply::Response(response)
+    }
+
     /// What its responses to requests that it runs ask of the daemons now.
     fn notice(&self) -> Notice {
         self.lock().notice
--- a/crates/standin/src/worker_fault.rs
+++ b/crates/standin/src/worker_fault.rs
@@ -3,6 +3,7 @@
 use {
     crate::server::{FLOOD_CHUNK_BYTES, Reply, endless_body},
     platform::standin::not_run_response,
+    std::time::Duration,
     wire::Response,
 };
 
@@ -32,6 +33,8 @@
     /// Works normally.
     #[default]
     None,
+    /// Turns health probes away after this time, naming neither itself nor a request.
+    RefusesProbes(Duration),
     /// Runs requests and closes the connection without a response.
     Resets,
     /// Takes this many times as long as usual, without reporting it.
@@ -60,9 +63,11 @@
                 head: Vec::new(),
                 part: b"HTTP/1.1 102 Processing\r\n\r\n".repeat(FLOOD_REPEATS),
             },
-            Self::Errors | Self::FloodsProbes | Self::None | Self::Slow(_) => {
-                Reply::Response(response.clone())
-            }
+            Self::Errors
+            | Self::FloodsProbes
+            | Self::None
+            | Self::RefusesProbes(_)
+            | Self::Slow(_) => Reply::Response(response.clone()),
             Self::ExtraResponse => {
                 let mut bytes = Vec::new();
                 late_response().encode(&mut bytes, false);
