--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -19,6 +19,7 @@
 /// The faults of a soak beyond the usual ones.
 #[derive(Default)]
 struct Extras {
+    cuts: bool,
     downloads: bool,
     notices: bool,
     restores: bool,
@@ -26,6 +27,7 @@
 
 fn run(seed: u64, seconds: u64, extras: Extras) {
     let soak = Soak {
+        cuts: extras.cuts,
         daemons: 5,
         downloads: extras.downloads,
         notices: extras.notices,
@@ -117,3 +119,12 @@
     };
     run(11_042, 12, extras);
 }
+
+#[test]
+fn a_short_soak_with_daemons_that_are_cut_off_from_all_workers_passes() {
+    let extras = Extras {
+        cuts: true,
+        ..Extras::default()
+    };
+    run(20_261_208, 12, extras);
+}
--- a/crates/standin/src/bin/soak.rs
+++ b/crates/standin/src/bin/soak.rs
@@ -14,6 +14,10 @@
     #[arg(long, default_value_t = 6)]
     daemons: usize,
 
+    /// Cut daemons off from all workers now and then.
+    #[arg(long)]
+    cuts: bool,
+
     /// Have workers send large responses and cut them short now and then.
     #[arg(long)]
     downloads: bool,
@@ -52,6 +56,7 @@
     let mut failed = 0;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
         let soak = Soak {
+            cuts: arguments.cuts,
             daemons: arguments.daemons,
             downloads: arguments.downloads,
             notices: arguments.notices,
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -1,5 +1,9 @@
 use {
-    crate::{proxy::ProxyFault, store::StoreFault, worker_fault::WorkerFault},
+    crate::{
+        proxy::{Cut, ProxyFault},
+        store::StoreFault,
+        worker_fault::WorkerFault,
+    },
     fastrand::Rng,
     std::time::Duration,
 };
@@ -15,6 +19,8 @@
     Kill(usize),
     /// Makes the store execute the next two writes without responding to them.
     DropResponses,
+    /// Cuts a daemon off from all workers.
+    CutOff(usize, Cut),
     /// Evacuates a data centre until the fault ends.
     Evacuate(usize),
     /// Suspends a daemon with SIGSTOP until the fault ends.
@@ -77,6 +83,13 @@
         }
     }
 
+    /// Draws a random cut of a daemon.
+    pub(crate) fn draw_cut(rng: &mut Rng) -> Self {
+        let index = rng.usize(..1_000);
+        let cuts = [Cut::Hang, Cut::RefuseNew, Cut::Reset];
+        Self::CutOff(index, cuts[rng.usize(..cuts.len())])
+    }
+
     /// Draws a random notice of a worker.
     pub(crate) fn draw_notice(rng: &mut Rng) -> Self {
         let index = rng.usize(..1_000);
--- a/crates/standin/src/soak/injection.rs
+++ b/crates/standin/src/soak/injection.rs
@@ -54,6 +54,7 @@
                 self.version += 1;
                 self.fleet.store.put_config(&config(self.version));
             }
+            Fault::CutOff(index, cut) => self.fleet.cut_from_workers(index % size, Some(cut)),
             Fault::Evacuate(index) => self.fleet.store.evacuate(CENTRES[index % CENTRES.len()]),
             Fault::Kill(index) if self.is_undisturbed(index % size) => {
                 self.fleet.kill(index % size)
@@ -111,6 +112,7 @@
     pub(crate) fn end(&mut self, active: &ActiveFault) -> Result<(), StandinError> {
         let size = self.fleet.size();
         match active.fault {
+            Fault::CutOff(index, _) => self.fleet.cut_from_workers(index % size, None),
             Fault::Evacuate(index) => {
                 let centre = CENTRES[index % CENTRES.len()];
                 self.fleet.store.end_evacuation(centre);
--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -41,7 +41,7 @@
 /// Seeds that are multiples of this number run strict soaks, without faults that delay the
 /// propagation of the store's changes.
 const STRICT_INTERVAL: u64 = 3;
-/// In soaks with restores, downloads or notices, one fault in this many is of that kind.
+/// In soaks with cuts, restores, downloads or notices, one fault in this many is of that kind.
 const EXTRA_INTERVAL: u32 = 5;
 /// The minimum duration of an evacuation, and of a limit that a worker names.
 const MIN_LONG_FAULT: Duration = Duration::from_secs(7);
@@ -57,6 +57,8 @@
 pub struct Soak {
     /// The number of daemons.
     pub daemons: usize,
+    /// Whether daemons are cut off from all workers now and then.
+    pub cuts: bool,
     /// Whether workers send large responses and cut them short now and then.
     pub downloads: bool,
     /// Whether workers say now and then that they leave, ask to back off or name a limit.
@@ -92,6 +94,8 @@
     /// Whether faults that delay the propagation of the store's changes are left out, so that the
     /// bounds on the propagation time are checked all the time.
     strict: bool,
+    /// Whether daemons are cut off from all workers now and then.
+    cuts: bool,
     /// Whether workers send large responses and cut them short now and then.
     downloads: bool,
     /// Whether workers say now and then that they leave, ask to back off or name a limit.
@@ -127,6 +131,7 @@
             next_worker: fleet.workers.len(),
             strict: !self.restores && self.seed.is_multiple_of(STRICT_INTERVAL),
             downloads: self.downloads,
+            cuts: self.cuts,
             notices: self.notices,
             restores: self.restores,
             rng: Rng::with_seed(self.seed),
@@ -209,6 +214,9 @@
 
     /// Draws a fault that may begin now.
     fn draw_fault(&mut self) -> Fault {
+        if self.cuts && self.rng.u32(..EXTRA_INTERVAL) == 0 {
+            return Fault::draw_cut(&mut self.rng);
+        }
         if self.restores && self.rng.u32(..EXTRA_INTERVAL) == 0 {
             return Fault::Restore;
         }
