A request that begins just before the idle timeout gets the time of a head

What a caller saw: 408 at once, where the first bytes of its request came shortly before the connection's idle timeout. Cause: the connection's timer is never moved later, and when it fired any request that had arrived in part counted as late. Change: it is late once its first bytes are as old as the head's timeout; else the timer is set again. Evidence: a_request_that_begins_just_before_the_idle_timeout_has_the_time_of_a_head, real daemon: 408 before, served with the change.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -167,14 +167,16 @@
             self.update_caller_timer(now, conn_key);
             return;
         }
-        if caller.partial_since.is_some() {
+        let late = |since: Time| now.since(since) >= limits.head_timeout;
+        if caller.partial_since.is_some_and(late) {
             caller.closing = true;
             let response = problem_response(408, "the request did not arrive in time", None, None);
             self.send_own_response(now, conn_key, response, ResponseForm::LAST);
             return;
         }
+        let partial = caller.partial_since.is_some();
         let idle = self.conns.get(conn_key).map(|conn| conn.channel.idle(now));
-        if idle.is_some_and(|idle| idle >= limits.idle_timeout) {
+        if !partial && idle.is_some_and(|idle| idle >= limits.idle_timeout) {
             self.linger(conn_key, now);
         } else {
             self.update_caller_timer(now, conn_key);
--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -1,15 +1,19 @@
 //! Callers that send invalid messages, pipelined requests or unusual bodies.
 
 use {
-    crate::support::{default_plan, metric, run_load_served, start_fleet, state_dump, wait_until},
+    crate::support::{
+        default_plan, metric, run_load_served, start_fleet, state_dump, wait_for_config, wait_until,
+    },
     nix::sys::signal::Signal,
     socket2::{Domain, Socket, Type},
     standin::{Fleet, StoreFault},
     std::{
         io::{Read, Write},
         net::{Ipv4Addr, SocketAddrV4, TcpStream},
+        thread,
         time::Duration,
     },
+    unit::Span,
 };
 
 /// The head of a write whose body comes in chunks.
@@ -269,3 +273,23 @@
     assert_eq!(after, before);
     assert!(fleet.executions.entries().is_empty());
 }
+
+#[test]
+fn a_request_that_begins_just_before_the_idle_timeout_has_the_time_of_a_head() {
+    let fleet = start_fleet();
+    let mut config = standin::config(2);
+    config.limits.idle_timeout = Span::secs(1);
+    config.limits.head_timeout = Span::secs(5);
+    fleet.store.put_config(&config);
+    wait_for_config(&fleet, 2);
+    let mut conn = connect(&fleet);
+    let request = get("/pictures/1", "late", true);
+    let (first, rest) = request.split_at(20);
+    thread::sleep(Duration::from_millis(800));
+    conn.write_all(first.as_bytes()).expect("the daemon reads");
+    thread::sleep(Duration::from_millis(600));
+    conn.write_all(rest.as_bytes()).expect("the daemon reads");
+    let mut answer = String::new();
+    conn.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
