--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -46,7 +46,7 @@
         self.admin_requests(now, conn_key);
         if ending.is_some() {
             self.remove_conn(conn_key);
-        } else {
+        } else if self.admin_conn(conn_key).is_some() {
             self.set_timer(conn_key, now + ADMIN_IDLE_TIMEOUT);
         }
     }
--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -293,3 +293,15 @@
     conn.read_to_string(&mut answer).expect("an answer");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+#[test]
+fn a_connection_to_the_readiness_address_that_its_client_leaves_open_is_closed_soon() {
+    let fleet = start_fleet();
+    let mut conn = TcpStream::connect(fleet.directory(0)).expect("the daemon listens");
+    conn.write_all(b"GET /v1/ready HTTP/1.1\r\nHost: d\r\nConnection: close\r\n\r\n")
+        .expect("the daemon reads");
+    let mut answer = Vec::new();
+    conn.read_to_end(&mut answer).expect("an answer");
+    // Writing fails once the daemon has closed its side too.
+    wait_until("the daemon has closed it", || conn.write_all(b"x").is_err());
+}
