--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -17,6 +17,7 @@
 mod dispatcher;
 mod forwarding;
 mod id;
+mod news;
 mod notice_change;
 mod policy;
 mod reaching;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod dump;
 mod error;
 mod explain;
+mod fetches;
 mod forwards;
 mod helping;
 mod io_events;
