--- a/crates/call/src/call_action.rs
+++ b/crates/call/src/call_action.rs
@@ -20,6 +20,21 @@
     Barred(Span),
 }
 
+/// To whom and how a request is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ForwardOrder {
+    /// To how many workers it may be sent.
+    pub attempts: u32,
+    /// The request.
+    pub call: CallId,
+    /// The other daemon's address.
+    pub helper: Ipv4Addr,
+    /// The number of this use of a connection.
+    pub link: LinkId,
+    /// The time left until the deadline.
+    pub time_left: Span,
+}
+
 /// An instruction from the dispatcher to the daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallAction {
@@ -54,18 +69,7 @@
         worker: WorkerKey,
     },
     /// Pass the request on to another daemon.
-    Forward {
-        /// To how many workers it may be sent.
-        attempts: u32,
-        /// The request.
-        call: CallId,
-        /// The other daemon's address.
-        helper: Ipv4Addr,
-        /// The number of this use of a connection.
-        link: LinkId,
-        /// The time left until the deadline.
-        time_left: Span,
-    },
+    Forward(ForwardOrder),
     /// Return the connection to the pool.
     Release(LinkId),
     /// Send the request on the connection, and tell the worker the time left until the deadline.
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -169,7 +169,7 @@
             call.selection = SelectionState::Idle;
             return;
         }
-        if self.may_save(now, id) && self.forward(now, id) {
+        if self.may_forward_instead(now, id) && self.forward(now, id) {
             return;
         }
         let Some(call) = self.calls.get_mut(&id) else {
--- a/crates/call/src/forwarding.rs
+++ b/crates/call/src/forwarding.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        CallAction, CallError, CallId, Decision, LinkId, ProbeFailure,
+        CallAction, CallError, CallId, Decision, ForwardOrder, LinkId, ProbeFailure,
         call::{Call, SelectionState},
         dispatcher::Dispatcher,
         sending::MIN_REMAINING,
@@ -62,7 +62,7 @@
 
     /// Whether a request that would be refused is to be forwarded instead, since none of the workers
     /// that it was meant for could be reached.
-    pub(crate) fn may_save(&self, now: Time, id: CallId) -> bool {
+    pub(crate) fn may_forward_instead(&self, now: Time, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
@@ -117,13 +117,13 @@
                 selection,
             });
         }
-        self.actions.push(CallAction::Forward {
+        self.actions.push(CallAction::Forward(ForwardOrder {
             attempts,
             call: id,
             helper,
             link,
             time_left: left,
-        });
+        }));
         true
     }
 
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -29,7 +29,7 @@
 
 pub use {
     attempt_ending::{AttemptEnding, AttemptReport, ProbeFailure},
-    call_action::{CallAction, CallError},
+    call_action::{CallAction, CallError, ForwardOrder},
     call_event::{Arrival, CallEvent, Forwarded, Liveness},
     crashes::WorkerCrash,
     decision::{Decision, DecisionRecord},
--- a/crates/call/tests/dispatcher/forwarding.rs
+++ b/crates/call/tests/dispatcher/forwarding.rs
@@ -60,7 +60,7 @@
 /// Takes the next action, which must forward a request. Returns the helper and the link.
 fn next_forward(harness: &mut Harness) -> (Ipv4Addr, LinkId) {
     match harness.next_action() {
-        CallAction::Forward { helper, link, .. } => (helper, link),
+        CallAction::Forward(order) => (order.helper, order.link),
         other => panic!("expected a forward, not {other:?}"),
     }
 }
@@ -74,7 +74,7 @@
         }
         match harness.next_action() {
             CallAction::Probe { link, .. } => harness.fail_probe(link),
-            CallAction::Forward { link, .. } => return link,
+            CallAction::Forward(order) => return order.link,
             other => panic!("expected a probe or a forward, not {other:?}"),
         }
     }
--- a/crates/call/tests/dispatcher/random.rs
+++ b/crates/call/tests/dispatcher/random.rs
@@ -4,7 +4,7 @@
     crate::harness::{Harness, bounds, health, route},
     call::{
         AttemptEnding, AttemptReport, CallAction, CallError, CallEvent, CallId, ForwardEnding,
-        LinkId, Liveness, Policy, ProbeFailure,
+        ForwardOrder, LinkId, Liveness, Policy, ProbeFailure,
     },
     fastrand::Rng,
     quickcheck::quickcheck,
@@ -236,13 +236,13 @@
                     record.maybe_ran += 1;
                     record.sends += 1;
                 }
-                CallAction::Forward {
+                CallAction::Forward(ForwardOrder {
                     attempts,
                     call,
                     link,
                     time_left,
                     ..
-                } => {
+                }) => {
                     let state = LinkState::Forwarded(call);
                     assert_eq!(self.links.insert(link, state), None);
                     assert!(attempts > 0 && time_left > Span::ZERO);
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -334,7 +334,7 @@
                 self.delivered(daemon_index, call);
             }
             CallAction::Fail(call, error) => self.call_failed(daemon_index, call, error),
-            CallAction::Forward { .. } | CallAction::Try { .. } => {
+            CallAction::Forward(_) | CallAction::Try { .. } => {
                 unreachable!("all workers can be reached here, and no helper is known")
             }
         }
--- a/crates/daemon/src/forwards.rs
+++ b/crates/daemon/src/forwards.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{conn::ConnKind, constants::MAX_RESPONSE_BYTES, daemon::Daemon, workers::LinkState},
-    call::{CallAction, CallError, CallEvent, CallId, ForwardEnding, LinkId, keeps_whole},
+    call::{CallError, CallEvent, CallId, ForwardEnding, ForwardOrder, LinkId, keeps_whole},
     forward::{ForwardReply, ForwardRequest},
     peer::{FrameCodec, PeerRequest},
     platform::{encode_passed_on, read_response_head},
@@ -46,43 +46,37 @@
 }
 
 impl Daemon {
-    /// Forwards a request as the dispatcher decided; `action` is a [`CallAction::Forward`].
-    pub(crate) fn forward(&mut self, now: Time, action: &CallAction) {
-        let CallAction::Forward { link, .. } = action else {
-            return;
-        };
-        if self.try_forward(now, action).is_none() {
-            let declined = CallEvent::ForwardEnded(*link, ForwardEnding::Declined);
+    /// Forwards a request as the dispatcher decided.
+    pub(crate) fn forward(&mut self, now: Time, order: &ForwardOrder) {
+        if self.try_forward(now, order).is_none() {
+            let declined = CallEvent::ForwardEnded(order.link, ForwardEnding::Declined);
             self.call_events.push_back(declined);
         }
     }
 
     /// Forwards a request; `None` if it is gone or the system refuses to connect.
-    fn try_forward(&mut self, now: Time, action: &CallAction) -> Option<()> {
-        let CallAction::Forward {
+    fn try_forward(&mut self, now: Time, order: &ForwardOrder) -> Option<()> {
+        let ForwardOrder {
             attempts,
             call,
             helper,
             link,
             time_left,
-        } = action
-        else {
-            return None;
-        };
-        let active = self.calls.get(call)?;
+        } = *order;
+        let active = self.calls.get(&call)?;
         let head = PeerRequest::Forward(ForwardRequest {
-            attempts: *attempts,
+            attempts,
             config: self.config.as_ref()?.version,
-            service: self.dispatcher.service_of(*call)?.clone(),
+            service: self.dispatcher.service_of(call)?.clone(),
         });
         let mut bytes = FrameCodec::encode(&head).ok()?;
-        bytes.extend(encode_passed_on(&active.request, *time_left));
+        bytes.extend(encode_passed_on(&active.request, time_left));
         let kind = ConnKind::Forward(ForwardConn {
-            call: *call,
+            call,
             codec: FrameCodec::default(),
             id: active.id.clone(),
             is_head: active.is_head,
-            link: *link,
+            link,
             phase: ForwardPhase::Reply,
             reader: ResponseReader::new(Limits {
                 // The daemon itself decides what to do with a large response.
@@ -90,8 +84,8 @@
                 ..Limits::default()
             }),
         });
-        let conn_key = self.connect(self.peer_address(*helper), kind, now).ok()?;
-        self.links.insert(*link, LinkState::Conn(conn_key));
+        let conn_key = self.connect(self.peer_address(helper), kind, now).ok()?;
+        self.links.insert(link, LinkState::Conn(conn_key));
         self.set_timer(conn_key, now + CONNECT_TIMEOUT);
         if self.write_conn(conn_key, &bytes, now).is_err() {
             self.forward_closed(now, conn_key);
--- a/crates/daemon/src/helping.rs
+++ b/crates/daemon/src/helping.rs
@@ -96,6 +96,8 @@
         if self.forwarded(conn_key).is_none() {
             return Vec::new();
         }
+        // A reply is far below the size limit, which is all that could fail; without it the other
+        // daemon takes the request for lost.
         FrameCodec::encode(&reply).unwrap_or_default()
     }
 
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -45,7 +45,7 @@
             CallAction::Deliver(call, link) => self.deliver(now, call, link),
             CallAction::Connect { link, worker } => self.connect_link(now, link, worker),
             CallAction::Fail(call, error) => self.fail_call(now, call, error),
-            CallAction::Forward { .. } => self.forward(now, &action),
+            CallAction::Forward(order) => self.forward(now, &order),
             CallAction::Release(link) => self.release_link(now, link),
             CallAction::Send(call, link, time_left) => {
                 self.send_request(now, call, link, time_left)
