The soak's judges of notices go by the daemon that sent a request, not by the one that its caller chose

Change: workers record the address that a request comes from (daemons connect from their own, proxies pass it on), and the judges go by it.

--- a/crates/standin/src/execution_log.rs
+++ b/crates/standin/src/execution_log.rs
@@ -4,6 +4,7 @@
     site::Notice,
     std::{
         collections::HashMap,
+        net::IpAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Instant,
     },
@@ -15,6 +16,8 @@
 pub struct Arrival {
     /// When the worker had read it.
     pub at: Instant,
+    /// The address that it came from, which is its daemon's.
+    pub from: Option<IpAddr>,
     /// The worker's response, if it sent one.
     pub response: Option<Answer>,
     /// The request's id.
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -1,15 +1,18 @@
 //! A loopback TCP proxy that injects network faults.
 
-use std::{
-    collections::HashMap,
-    io::{self, Read, Write},
-    net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+use {
+    socket2::{Domain, Socket, Type},
+    std::{
+        collections::HashMap,
+        io::{self, Read, Write},
+        net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::Duration,
     },
-    thread,
-    time::Duration,
 };
 
 /// Bytes read at a time.
@@ -181,7 +184,7 @@
             continue;
         }
         // If the server can't be reached, the client's connection is closed.
-        if let Ok(server) = TcpStream::connect_timeout(&SocketAddr::V4(server), CONNECT_TIMEOUT) {
+        if let Ok(server) = connect_from(from, server) {
             let blackholed = Arc::new(AtomicBool::new(cut == Some(Cut::Hang)));
             let conn = ProxiedConn {
                 blackholed,
@@ -194,6 +197,14 @@
     }
 }
 
+/// Connects to a server from the client's own address, by which the server knows the client.
+fn connect_from(client: IpAddr, server: SocketAddrV4) -> io::Result<TcpStream> {
+    let sock = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    sock.bind(&SocketAddr::new(client, 0).into())?;
+    sock.connect_timeout(&server.into(), CONNECT_TIMEOUT)?;
+    Ok(sock.into())
+}
+
 /// Starts a thread for each direction of a connection.
 fn forward(conn: ProxiedConn, shared: &Arc<Shared>) -> io::Result<()> {
     let (client, server) = (&conn.client, &conn.server);
--- a/crates/standin/src/soak/notices.rs
+++ b/crates/standin/src/soak/notices.rs
@@ -9,7 +9,7 @@
     },
     std::{
         collections::HashMap,
-        net::SocketAddrV4,
+        net::{IpAddr, SocketAddrV4},
         time::{Duration, Instant},
     },
     unit::{Name, Rate},
@@ -33,8 +33,10 @@
     arrival: &'a Arrival,
     /// When the caller sent the request.
     began: Instant,
-    /// The daemon's index.
+    /// The index of the daemon that sent it to the worker.
     daemon: usize,
+    /// The index of the daemon that its caller sent it to, which may have forwarded it.
+    entry: usize,
     /// Whether the caller got this arrival's response.
     passed_on: bool,
 }
@@ -74,6 +76,10 @@
     for arrival in arrivals {
         *counts.entry(&arrival.request).or_default() += 1;
     }
+    let senders = indices.iter();
+    let senders: HashMap<IpAddr, usize> = senders
+        .map(|(address, index)| (IpAddr::V4(*address.ip()), *index))
+        .collect();
     let sent = |arrival: &'a Arrival| {
         let request = by_id.get(&*arrival.request)?;
         // After a retry or a hedge it isn't known whose response the caller got.
@@ -81,7 +87,8 @@
         Some(Sent {
             arrival,
             began: request.began,
-            daemon: *indices.get(&request.result.daemon)?,
+            daemon: *senders.get(&arrival.from?)?,
+            entry: *indices.get(&request.result.daemon)?,
             passed_on: only_one && request.result.outcome == Outcome::Served,
         })
     };
@@ -105,7 +112,9 @@
         }
         let leaving = sent.told().filter(|response| response.notice.leaving);
         if let Some(response) = leaving {
-            told.entry((worker, sent.daemon)).or_insert(response.at);
+            for daemon in [sent.daemon, sent.entry] {
+                told.entry((worker, daemon)).or_insert(response.at);
+            }
         }
     }
     violations
@@ -161,7 +170,9 @@
         let mut told: HashMap<usize, Instant> = HashMap::new();
         for sent in of_worker.iter().copied().filter(named) {
             if let Some(response) = sent.told() {
-                told.entry(sent.daemon).or_insert(response.at);
+                for daemon in [sent.daemon, sent.entry] {
+                    told.entry(daemon).or_insert(response.at);
+                }
             }
         }
         let counts = |sent: &&&Sent<'_>| {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -247,6 +247,8 @@
         let end = Instant::now() + Duration::from(head.time_left);
         let arrival = self.executions.arrive(Arrival {
             at: Instant::now(),
+            // Without an address the request counts as nobody's.
+            from: conn.peer_addr().ok().map(|address| address.ip()),
             response: None,
             request: id.clone(),
             worker: self.id.clone(),
