--- a/crates/call/src/call_event.rs
+++ b/crates/call/src/call_event.rs
@@ -82,6 +82,9 @@
     ForwardEnded(LinkId, ForwardEnding),
     /// The time given by [`Dispatcher::next_tick`](crate::Dispatcher::next_tick) has come.
     Tick,
+    /// A helper passes on the response of the worker with this hash of its process run, which asks
+    /// something of all that pass it on.
+    NoticePassedOn(u32, Notice),
     /// The head of a worker's response to a request has arrived, and asks something of its callers.
     NoticeHeard(WorkerKey, Notice),
     /// A worker responded to a probe after the probe had been abandoned.
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -154,6 +154,7 @@
             CallEvent::ConnectEnded(link, result) => self.connect_ended(now, link, result),
             CallEvent::ForwardEnded(link, ending) => self.forward_ended(now, link, ending),
             CallEvent::Tick => self.run_timers(now),
+            CallEvent::NoticePassedOn(run, notice) => self.notice_passed_on(now, run, notice),
             CallEvent::NoticeHeard(worker, notice) => {
                 self.record_notice(now, worker, NoticeSource::Response, notice);
             }
--- a/crates/call/src/news.rs
+++ b/crates/call/src/news.rs
@@ -4,10 +4,22 @@
     crate::{NoticeChange, crashes::WorkerCrash, dispatcher::Dispatcher},
     pick::{LimitNews, NoticeSource},
     poison::{CrashLog, CrashNews},
+    site::Notice,
     unit::Time,
 };
 
 impl Dispatcher {
+    /// Records what a worker asks in a response that a helper got. A delay speaks of the helper.
+    pub(crate) fn notice_passed_on(&mut self, now: Time, run: u32, notice: Notice) {
+        let notice = Notice {
+            retry_after: None,
+            ..notice
+        };
+        if let Some(worker) = self.table.key_of_run(run) {
+            self.record_notice(now, worker, NoticeSource::Response, notice);
+        }
+    }
+
     /// Adopts what another daemon was told of a worker's limit.
     pub fn adopt_limit(&mut self, now: Time, news: LimitNews) {
         if let Some(worker) = self.table.adopt_limit(now, news) {
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -244,6 +244,7 @@
             id: head.id.as_str().into(),
             conn_key,
             request,
+            run: None,
             conn_serial: conn.serial,
         };
         self.calls.insert(id, active);
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -192,7 +192,7 @@
         id: CallId,
         mut response: Response,
     ) {
-        let mut out = self.reply_prefix(active.conn_key, ForwardReply::Response);
+        let mut out = self.reply_prefix(active.conn_key, ForwardReply::Response(active.run));
         let Some(pending) = self.pending_response(active, id) else {
             return;
         };
--- a/crates/daemon/src/forwards.rs
+++ b/crates/daemon/src/forwards.rs
@@ -6,6 +6,7 @@
     forward::{ForwardReply, ForwardRequest},
     peer::{FrameCodec, PeerRequest},
     platform::{encode_passed_on, read_response_head},
+    site::Notice,
     unit::{Name, Span, Time},
     wire::{ConnectionEnd, Limits, Response, ResponseReader},
 };
@@ -36,6 +37,8 @@
     link: LinkId,
     phase: ForwardPhase,
     pub(crate) reader: ResponseReader,
+    /// The hash of the process run of the worker that responds, once the helper has told it.
+    run: Option<u32>,
 }
 
 impl ForwardConn {
@@ -83,6 +86,7 @@
                 body_bytes: usize::MAX,
                 ..Limits::default()
             }),
+            run: None,
         });
         let conn_key = self.connect(self.peer_address(helper), kind, now).ok()?;
         self.links.insert(link, LinkState::Conn(conn_key));
@@ -153,8 +157,9 @@
         };
         let ending = match conn.codec.decode() {
             Ok(None) => return,
-            Ok(Some(ForwardReply::Response)) => {
+            Ok(Some(ForwardReply::Response(run))) => {
                 conn.phase = ForwardPhase::Response;
+                conn.run = run;
                 let rest = conn.codec.take_rest();
                 conn.reader.push(&rest);
                 return;
@@ -198,8 +203,9 @@
         if keeps_whole(partial.length, partial.buffered, || self.buffered_bytes()) {
             return;
         }
-        let same_id = read_response_head(partial.head).id.as_deref() == Some(&*conn.id);
-        let (call, link) = (conn.call, conn.link);
+        let head = read_response_head(partial.head);
+        let same_id = head.id.as_deref() == Some(&*conn.id);
+        let (call, link, run) = (conn.call, conn.link, conn.run);
         if !same_id {
             if partial.length.unwrap_or(partial.buffered) > MAX_RESPONSE_BYTES {
                 self.forward_closed(now, conn_key);
@@ -209,6 +215,7 @@
         if let Some(conn) = self.forward_conn(conn_key) {
             conn.phase = ForwardPhase::Relaying;
         }
+        self.hear_passed_on(now, run, head.notice);
         let answered = CallEvent::ForwardEnded(link, ForwardEnding::Answered);
         self.dispatch(now, answered);
         if !self.relays.contains_key(&call) {
@@ -223,7 +230,8 @@
             return;
         };
         let (call, link, relaying) = (conn.call, conn.link, conn.is_relaying());
-        let same_id = read_response_head(&response).id.as_deref() == Some(&*conn.id);
+        let (run, head) = (conn.run, read_response_head(&response));
+        let same_id = head.id.as_deref() == Some(&*conn.id);
         if !relaying && !same_id {
             self.forward_closed(now, conn_key);
             return;
@@ -232,12 +240,22 @@
         if relaying {
             self.relay_body(now, call, &response.body, true);
         } else {
-            let state = LinkState::Responded(Box::new(response));
+            self.hear_passed_on(now, run, head.notice);
+            let state = LinkState::Responded(Box::new(response), None);
             self.links.insert(link, state);
             self.dispatch(now, CallEvent::ForwardEnded(link, ForwardEnding::Answered));
         }
     }
 
+    /// Reports what a worker asks in a response that this daemon passes on.
+    fn hear_passed_on(&mut self, now: Time, run: Option<u32>, notice: Notice) {
+        if let Some(run) = run
+            && notice != Notice::default()
+        {
+            self.dispatch(now, CallEvent::NoticePassedOn(run, notice));
+        }
+    }
+
     /// Handles that a connection to a helper failed before the whole response had arrived.
     fn forward_closed(&mut self, now: Time, conn_key: usize) {
         let Some(conn) = self.conns.get(conn_key) else {
--- a/crates/daemon/src/relays.rs
+++ b/crates/daemon/src/relays.rs
@@ -93,7 +93,7 @@
     ) {
         let relay = Relay::new(active.deadline, now);
         let next_check = relay.next_check();
-        let prefix = self.reply_prefix(active.conn_key, ForwardReply::Response);
+        let prefix = self.reply_prefix(active.conn_key, ForwardReply::Response(active.run));
         let Some(reader) = self.response_reader(worker_key) else {
             return;
         };
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -30,6 +30,9 @@
     /// The key of the caller's connection in `Daemon::conns`.
     pub(crate) conn_key: usize,
     pub(crate) request: Request,
+    /// The hash of the process run of the worker whose response is delivered; `None` until then, and
+    /// if it isn't known.
+    pub(crate) run: Option<u32>,
     /// The serial number of the caller's connection, to tell whether `conn_key` still is its key.
     pub(crate) conn_serial: u64,
 }
@@ -57,14 +60,19 @@
     /// Gives the caller the worker's response.
     fn deliver(&mut self, now: Time, call: CallId, link: LinkId) {
         let state = self.links.remove(&link);
-        let Some(active) = self.calls.remove(&call) else {
+        let Some(mut active) = self.calls.remove(&call) else {
             return;
         };
         let elapsed = now.since(active.started);
         self.metrics.latency.observe(elapsed.as_secs());
         let response = match state {
-            Some(LinkState::Responded(response)) => *response,
+            Some(LinkState::Responded(response, worker)) => {
+                active.run = self.run_hash(worker);
+                *response
+            }
             Some(LinkState::Conn(conn_key)) => {
+                let worker = self.worker_conn(conn_key).map(|worker| worker.key);
+                active.run = self.run_hash(worker);
                 self.start_relay(now, call, active, conn_key);
                 return;
             }
@@ -222,6 +230,12 @@
         self.log_event(now, event, fields);
     }
 
+    /// The hash of a worker's process run, by which daemons tell each other of it.
+    fn run_hash(&self, worker: Option<WorkerKey>) -> Option<u32> {
+        let record = self.dispatcher.table.get(worker?)?;
+        Some(record.run_hash())
+    }
+
     /// The id of a worker, for the log.
     fn worker_id(&self, key: WorkerKey) -> Option<Name> {
         let record = self.dispatcher.table.get(key)?;
--- a/crates/daemon/src/worker_responses.rs
+++ b/crates/daemon/src/worker_responses.rs
@@ -218,8 +218,9 @@
         };
         let keep = !response.closes_connection && report.ending != AttemptEnding::InvalidResponse;
         if report.ending == AttemptEnding::Served || report.ending == AttemptEnding::Failed {
+            let worker = self.worker_conn(conn_key).map(|worker| worker.key);
             self.links
-                .insert(link, LinkState::Responded(Box::new(response)));
+                .insert(link, LinkState::Responded(Box::new(response), worker));
         } else {
             self.links.remove(&link);
         }
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -18,9 +18,9 @@
 /// The state of one use of a worker's connection, for a probe or a request or both.
 #[derive(Debug)]
 pub(crate) enum LinkState {
-    /// The worker has responded; the response is kept until the dispatcher decides what to do with
-    /// it.
-    Responded(Box<Response>),
+    /// A worker has responded; the response is kept until the dispatcher decides what to do with it.
+    /// The worker is `None` if a helper got the response.
+    Responded(Box<Response>, Option<WorkerKey>),
     /// The use is in progress on the connection with this key in `Daemon::conns`.
     Conn(usize),
 }
--- a/crates/daemon/tests/failures/cuts.rs
+++ b/crates/daemon/tests/failures/cuts.rs
@@ -4,7 +4,8 @@
     crate::{
         callers::get,
         support::{
-            default_plan, metric, new_caller, run_load, run_load_served, state_dump, wait_until,
+            default_plan, metric, new_caller, run_count, run_load, run_load_served, state_dump,
+            wait_until,
         },
     },
     forward::ForwardRequest,
@@ -182,3 +183,33 @@
         log.contains("forwarded by a stranger")
     });
 }
+
+#[test]
+fn a_daemon_that_passed_on_that_a_worker_leaves_is_bound_by_it() {
+    let fleet = Fleet::start(&FleetPlan {
+        daemon_centres: vec!["a", "a"],
+        proxied: true,
+        worker_centres: vec!["a", "a"],
+        ..default_plan()
+    })
+    .expect("a fleet");
+    fleet.cut_from_workers(0, Some(Cut::Reset));
+    run_load(&fleet, &[0], 1_500);
+    fleet.workers[0].set_leaving(true);
+    wait_until("the worker has told the helper", || {
+        run_load(&fleet, &[0], 200);
+        let workers = &state_dump(&fleet, 1)["workers"];
+        let mut workers = workers.as_array().into_iter().flatten();
+        workers.any(|worker| worker["id"] == "w-0" && worker["leaving"] == true)
+    });
+    fleet.cut_from_workers(0, None);
+    wait_until("a worker is reached again", || {
+        let log = fleet.log(0).unwrap_or_default();
+        log.contains("workers-reached")
+    });
+    // The drain time of the fleet's settings.
+    thread::sleep(Duration::from_secs(2));
+    let before = run_count(&fleet, "w-0");
+    run_load(&fleet, &[0], 1_000);
+    assert_eq!(run_count(&fleet, "w-0"), before);
+}
--- a/crates/forward/src/message.rs
+++ b/crates/forward/src/message.rs
@@ -27,8 +27,8 @@
     Lost,
     /// The request hasn't run and won't; its caller may retry after the span.
     NotRun(Span),
-    /// The worker's response follows.
-    Response,
+    /// The response follows of the worker with this hash of its process run, if it is still known.
+    Response(Option<u32>),
     /// No worker responded before the deadline; the request may have run.
     Timeout,
 }
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -302,12 +302,18 @@
         news
     }
 
+    /// The worker with this hash of its process run, by which daemons tell each other of it.
+    pub fn key_of_run(&self, run: u32) -> Option<WorkerKey> {
+        let mut records = self.records.iter();
+        let (key, _) = records.find(|(_, record)| record.run_hash == run)?;
+        Some(*key)
+    }
+
     /// Adopts what another daemon was told of a worker's limit, if that is newer. Returns the worker
     /// if its limit changes.
     pub fn adopt_limit(&mut self, now: Time, news: LimitNews) -> Option<WorkerKey> {
-        let mut records = self.records.iter_mut();
-        let (key, record) = records.find(|(_, record)| record.run_hash == news.run)?;
-        let key = *key;
+        let key = self.key_of_run(news.run)?;
+        let record = self.records.get_mut(&key)?;
         if !record.adopt_limit(now, news) {
             return None;
         }
