--- a/crates/call/benches/selection.rs
+++ b/crates/call/benches/selection.rs
@@ -148,6 +148,7 @@
         service: "s".into(),
         slots: 4,
         state: WorkerState::Ready,
+        version: Name::default(),
     }
 }
 
@@ -160,6 +161,7 @@
         prefix: "/".into(),
         priority: 1,
         problem: None,
+        public: false,
         targets: vec![Target {
             service: "s".into(),
             weight: 1,
--- a/crates/call/tests/dispatcher/harness.rs
+++ b/crates/call/tests/dispatcher/harness.rs
@@ -40,6 +40,7 @@
         prefix: "/".into(),
         priority: 1,
         problem: None,
+        public: false,
         targets: vec![Target {
             service: "s".into(),
             weight: 1,
@@ -71,6 +72,7 @@
         service: "s".into(),
         slots: 4,
         state: WorkerState::Ready,
+        version: Name::default(),
     }
 }
 
--- a/crates/call/tests/simulation/sim_daemon.rs
+++ b/crates/call/tests/simulation/sim_daemon.rs
@@ -62,6 +62,7 @@
         prefix: format!("/{}/", workload.name).as_str().into(),
         priority: workload.priority,
         problem: None,
+        public: false,
         targets: vec![Target {
             service: "s".into(),
             weight: 1,
@@ -99,6 +100,7 @@
         service: "s".into(),
         slots: scenario.slots,
         state: WorkerState::Ready,
+        version: Name::default(),
     }
 }
 
--- a/crates/conf/src/route_section.rs
+++ b/crates/conf/src/route_section.rs
@@ -76,6 +76,7 @@
                 prefix: prefix?,
                 priority,
                 problem: None,
+                public: false,
                 targets: targets?,
                 timeout,
             },
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -32,6 +32,7 @@
         service: "s".into(),
         slots: 4,
         state: WorkerState::Ready,
+        version: "v1".into(),
     }
 }
 
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{CallerLimits, Route, RouteKind, Service},
+    crate::{Account, CallerLimits, Route, RouteKind, Service},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
     unit::{Map, Name},
@@ -8,6 +8,8 @@
 /// A validated configuration. Routes that can't be served as they are configured are marked.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
+    /// The client accounts by name; requests need a key of one only if there are any.
+    pub accounts: Map<Name, Arc<Account>>,
     /// The routes of each host, whose name is in lower case; longest prefix first.
     pub hosts: Map<Name, Vec<Arc<Route>>>,
     /// Limits on callers' requests and connections.
--- a/crates/site/src/route.rs
+++ b/crates/site/src/route.rs
@@ -31,6 +31,8 @@
     pub priority: u32,
     /// Why its requests are rejected; `None` for a route that is served.
     pub problem: Option<Name>,
+    /// Whether its requests need no key of a client account.
+    pub public: bool,
     /// The services that get the requests. Empty if there is a `problem`; otherwise never empty,
     /// and the weights are never all zero.
     pub targets: Vec<Target>,
@@ -50,6 +52,7 @@
             prefix,
             priority: 0,
             problem: Some(problem),
+            public: false,
             targets: Vec::new(),
             timeout: Span::ZERO,
         }
--- a/crates/site/src/route_kind.rs
+++ b/crates/site/src/route_kind.rs
@@ -15,6 +15,8 @@
     /// A kind that this version doesn't know, by its name in the configuration. Nothing is known
     /// of repeating its requests, so each is executed at most once.
     Unknown(Name),
+    /// Requests with large bodies; each is executed at most once, as for [`Self::AtMostOnce`].
+    Upload,
 }
 
 impl RouteKind {
@@ -22,7 +24,7 @@
     pub fn is_idempotent(&self) -> bool {
         match self {
             Self::Download | Self::Idempotent => true,
-            Self::AtMostOnce | Self::Unknown(_) => false,
+            Self::AtMostOnce | Self::Unknown(_) | Self::Upload => false,
         }
     }
 
@@ -33,6 +35,7 @@
             Self::Download => "download",
             Self::Idempotent => "idempotent",
             Self::Unknown(_) => "unknown",
+            Self::Upload => "upload",
         }
     }
 }
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -35,4 +35,6 @@
     pub slots: u32,
     /// Whether it takes requests.
     pub state: WorkerState,
+    /// The version of its software; empty if the entry names none.
+    pub version: Name,
 }
--- a/crates/site/tests/restores.rs
+++ b/crates/site/tests/restores.rs
@@ -146,6 +146,7 @@
                 service: "s".into(),
                 slots: 4,
                 state: WorkerState::Ready,
+                version: Name::default(),
             };
             (Topic::Workers, name, Some(ObjectState::Worker(worker)))
         }
--- a/crates/site/tests/view/harness.rs
+++ b/crates/site/tests/view/harness.rs
@@ -27,6 +27,7 @@
         service: "s".into(),
         slots: 4,
         state,
+        version: "v1".into(),
     }
 }
 
--- a/crates/standin/src/config.rs
+++ b/crates/standin/src/config.rs
@@ -51,6 +51,7 @@
         prefix: prefix.into(),
         priority,
         problem: None,
+        public: false,
         targets: vec![Target {
             service: SERVICE.into(),
             weight: 1,
--- a/crates/standin/src/fuzz/target.rs
+++ b/crates/standin/src/fuzz/target.rs
@@ -135,6 +135,7 @@
         service: "gallery".into(),
         slots: 4,
         state: WorkerState::Ready,
+        version: "v1".into(),
     }
 }
 
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -147,6 +147,7 @@
                 service: service.into(),
                 slots: shared.slots,
                 state: WorkerState::Ready,
+                version: "v1".into(),
             },
             server,
             shared,
@@ -211,6 +212,7 @@
         Worker {
             heartbeats: self.entry.heartbeats + 1,
             state: WorkerState::Draining,
+            version: "v1".into(),
             ..self.entry.clone()
         }
     }
