--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,5 +1,6 @@
 //! The subcommands, one module each.
 
+mod accounts;
 mod centre;
 mod check;
 mod completions;
@@ -15,6 +16,8 @@
 /// The subcommand to run, with its arguments.
 #[derive(Debug, clap::Subcommand)]
 pub(crate) enum Subcommand {
+    /// Show the client accounts that a daemon has in force.
+    Accounts(accounts::Accounts),
     /// Check a site's files without publishing them.
     Check(check::Check),
     /// Print a shell's completions.
@@ -38,6 +41,7 @@
 impl Subcommand {
     pub(crate) fn run(&self, context: &Context) -> Result<(), CliError> {
         match self {
+            Self::Accounts(command) => command.run(context),
             Self::Check(command) => command.run(context),
             Self::Completions(command) => command.run(),
             Self::Dc(command) => command.run(context),
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -13,12 +13,18 @@
 
 impl Check {
     pub(crate) fn run(&self, context: &Context) -> Result<(), CliError> {
-        let config = read_site(&self.paths, 0)?;
+        let (config, _) = read_site(&self.paths, 0)?;
         let routes: usize = config.hosts.values().map(Vec::len).sum();
         let services = config.services.len();
-        let value = serde_json::json!({"services": services, "routes": routes});
+        let accounts = config.accounts.len();
+        let value =
+            serde_json::json!({"accounts": accounts, "services": services, "routes": routes});
         context.print(&value, || {
-            format!("valid: {services} services, {routes} routes\n")
+            let accounts = match accounts {
+                0 => String::new(),
+                count => format!(", {count} accounts"),
+            };
+            format!("valid: {services} services, {routes} routes{accounts}\n")
         })
     }
 }
--- a/crates/cli/src/command/diff.rs
+++ b/crates/cli/src/command/diff.rs
@@ -15,7 +15,7 @@
 
 impl Diff {
     pub(crate) fn run(&self, context: &Context) -> Result<(), CliError> {
-        let new = read_site(&self.paths, 0)?;
+        let (new, _) = read_site(&self.paths, 0)?;
         let current = context.store_session()?.config()?;
         let old = current.map_or_else(Arc::default, |current| current.value);
         let lines = differences(&old, &new);
@@ -25,11 +25,12 @@
     }
 }
 
-/// A line for each service or route that `new` adds (`+`), removes (`-`) or changes (`~`) against
+/// A line for each service, route or account that `new` adds (`+`), removes (`-`) or changes (`~`) against
 /// `old`, and one for changed limits.
 pub(crate) fn differences(old: &Config, new: &Config) -> Vec<String> {
     let mut lines = compare("service", &services(old), &services(new));
     lines.extend(compare("route", &routes(old), &routes(new)));
+    lines.extend(compare("account", &accounts(old), &accounts(new)));
     if old.limits != new.limits {
         lines.push("~ limits".to_owned());
     }
@@ -62,6 +63,13 @@
         .collect()
 }
 
+fn accounts(config: &Config) -> BTreeMap<String, Arc<site::Account>> {
+    let accounts = config.accounts.iter();
+    accounts
+        .map(|(name, account)| (name.to_string(), Arc::clone(account)))
+        .collect()
+}
+
 /// Routes by name, each with its host, so that a route moved to another host counts as changed.
 fn routes(config: &Config) -> BTreeMap<String, (Name, Arc<Route>)> {
     let hosts = config.hosts.iter();
--- a/crates/cli/src/command/publish.rs
+++ b/crates/cli/src/command/publish.rs
@@ -42,7 +42,8 @@
             return Err(CliError::Conflict(message));
         }
         let version = current_version.unwrap_or_default() + 1;
-        let config = Arc::new(read_site(&self.paths, version)?);
+        let (config, keys) = read_site(&self.paths, version)?;
+        let config = Arc::new(config);
         let unchanged = current
             .as_ref()
             .is_some_and(|current| differences(&current.value, &config).is_empty());
@@ -55,7 +56,7 @@
         let call = StoreCall::PutConfig(
             Arc::clone(&config),
             current.as_ref().map(base_version),
-            Arc::default(),
+            Arc::new(keys),
         );
         match store.write(&call)? {
             WriteOutcome::Done => {}
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -19,6 +19,8 @@
 /// The state of a daemon. The names of the fields are part of the JSON output.
 #[derive(Debug, Serialize)]
 struct DaemonStatus {
+    /// The accounts that are not in force as they are configured, if the daemon reports any.
+    accounts: Vec<String>,
     /// The staleness of the daemon's view of the store in milliseconds, if the daemon reports it.
     age: Option<u64>,
     centre: Name,
@@ -117,22 +119,24 @@
         }
     };
     DaemonStatus {
+        accounts: problem_texts("account", &state["accounts"]["problems"]),
         age: state["age_ms"].as_u64(),
         centre: member.centre,
         config: state["config"].as_u64(),
         name: member.name,
-        problems: problem_texts(&state["problems"]),
+        problems: problem_texts("route", &state["problems"]),
         stage,
     }
 }
 
-/// The problems in a daemon's state as `route: reason`.
-fn problem_texts(problems: &Value) -> Vec<String> {
+/// The problems with routes or accounts in a daemon's state as `name: reason`; `kind` is the field
+/// that has the name.
+fn problem_texts(kind: &str, problems: &Value) -> Vec<String> {
     let problems = problems.as_array().map_or(&[][..], Vec::as_slice);
     let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
     problems
         .iter()
-        .map(|problem| format!("{}: {}", text(&problem["route"]), text(&problem["reason"])))
+        .map(|problem| format!("{}: {}", text(&problem[kind]), text(&problem["reason"])))
         .collect()
 }
 
@@ -153,6 +157,9 @@
         for problem in &daemon.problems {
             text += &format!("    route {problem}\n");
         }
+        for problem in &daemon.accounts {
+            text += &format!("    account {problem}\n");
+        }
     }
     text
 }
--- a/crates/cli/src/files.rs
+++ b/crates/cli/src/files.rs
@@ -2,29 +2,30 @@
 
 use {
     crate::error::CliError,
-    conf::{Problems, ServiceFile, compile, parse_limits},
-    site::{CallerLimits, Config},
+    conf::{Problems, ServiceFile, SiteFile, compile},
+    site::{ApiKeys, Config},
     std::{
         fs, io,
         path::{Path, PathBuf},
     },
 };
 
-/// The file that holds the limits on callers; every other file describes a service.
+/// The file that holds the limits on callers and the client accounts; every other file describes a service.
 const SITE_FILE: &str = "site.ini";
 
 /// Reads, checks and compiles the files of a site: the files in `paths`, and every `.ini` file
-/// directly in a folder in `paths`. Reports the problems of all files together.
-pub(crate) fn read_site(paths: &[PathBuf], version: u64) -> Result<Config, CliError> {
-    let mut limits = CallerLimits::default();
+/// directly in a folder in `paths`. Reports the problems of all files together. Returns the keys of
+/// the accounts beside the configuration, which has only their digests.
+pub(crate) fn read_site(paths: &[PathBuf], version: u64) -> Result<(Config, ApiKeys), CliError> {
+    let mut site = SiteFile::default();
     let mut services = Vec::new();
     let mut problems = Vec::new();
     for path in list_files(paths)? {
         let file = path.display().to_string();
         let text = fs::read_to_string(&path).map_err(|error| unreadable_file(&path, error))?;
         if path.file_name().is_some_and(|name| name == SITE_FILE) {
-            match parse_limits(&file, &text) {
-                Ok(parsed) => limits = parsed,
+            match SiteFile::parse(&file, &text) {
+                Ok(parsed) => site = parsed,
                 Err(found) => problems.extend(found.0),
             }
             continue;
@@ -35,7 +36,7 @@
         }
     }
     if problems.is_empty() {
-        Ok(compile(&services, limits, version)?)
+        Ok((compile(&services, &site, version)?, site.api_keys()))
     } else {
         Err(Problems(problems).into())
     }
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -225,3 +225,39 @@
             .contains("anvilferry")
     );
 }
+
+/// Guards against keys that are lost on the way to the store, or shown by the tool.
+#[test]
+fn accounts_are_published_with_their_keys_and_shown_without() {
+    let fixture = Fixture::new();
+    fixture.write(
+        "site.ini",
+        "[account acme]\nkeys = secret-1, secret-2\nrate = 5\n",
+    );
+    let check = fixture.run_without_store(&["check", "."]);
+    assert_eq!(check, "valid: 1 services, 1 routes, 1 accounts\n");
+    fixture.run_ok(&["publish", "."]);
+    assert!(fixture.run_ok(&["diff", "."]).is_empty());
+    assert!(
+        fixture
+            .run_ok(&["publish", "."])
+            .contains("nothing has changed")
+    );
+    fixture.write(
+        "site.ini",
+        "[account acme]\nkeys = secret-1, secret-3\nrate = 5\n",
+    );
+    assert_eq!(fixture.run_ok(&["diff", "."]), "~ account acme\n");
+    let published = fixture.run_ok(&["publish", "."]);
+    assert!(!published.contains("secret"), "{published}");
+    fixture.write("site.ini", "[account acme]\nkeys = secret 4\n");
+    let refused = fixture.run(&["check", "."]);
+    assert!(!refused.status.success());
+    let text = String::from_utf8_lossy(&refused.stderr);
+    assert!(
+        text.contains("[account acme] keys") && !text.contains("secret"),
+        "{text}"
+    );
+    fixture.write("site.ini", "");
+    assert_eq!(fixture.run_ok(&["diff", "."]), "- account acme\n");
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,5 +1,6 @@
 //! A daemon's settings, and the INI files in which operators configure a site.
 
+mod account_section;
 mod bounds;
 mod ini_file;
 mod listen;
@@ -15,5 +16,5 @@
     problem::{Problem, Problems},
     service_file::ServiceFile,
     settings::Settings,
-    site_file::{compile, parse_limits},
+    site_file::{SiteFile, compile},
 };
--- a/crates/conf/src/route_section.rs
+++ b/crates/conf/src/route_section.rs
@@ -11,6 +11,7 @@
     "objective_ms",
     "prefix",
     "priority",
+    "public",
     "targets",
     "timeout_ms",
 ];
@@ -49,7 +50,7 @@
         let kind = ini.parse_with(
             section,
             "kind",
-            "give idempotent, download or at-most-once",
+            "give idempotent, download, at-most-once or upload",
             kind,
         );
         let targets = match ini.value(section, "targets") {
@@ -64,6 +65,10 @@
         let millis = |key, default| ini.millis(section, key, 1..=MAX_MS, default);
         let max_attempts = ini.number(section, "attempts", 1..=16, DEFAULT_ATTEMPTS);
         let priority = ini.number(section, "priority", 0..=1_000, DEFAULT_PRIORITY);
+        let public = match ini.value(section, "public") {
+            None => false,
+            Some(_) => ini.parse_with(section, "public", "give true or false", flag)?,
+        };
         let objective = millis("objective_ms", DEFAULT_OBJECTIVE_MS);
         let timeout = millis("timeout_ms", DEFAULT_TIMEOUT_MS);
         Some(Self {
@@ -76,7 +81,7 @@
                 prefix: prefix?,
                 priority,
                 problem: None,
-                public: false,
+                public,
                 targets: targets?,
                 timeout,
             },
@@ -96,11 +101,16 @@
     valid.then(|| text.into())
 }
 
+fn flag(text: &str) -> Option<bool> {
+    text.parse().ok()
+}
+
 fn kind(text: &str) -> Option<RouteKind> {
     match text {
         "at-most-once" => Some(RouteKind::AtMostOnce),
         "download" => Some(RouteKind::Download),
         "idempotent" => Some(RouteKind::Idempotent),
+        "upload" => Some(RouteKind::Upload),
         _ => None,
     }
 }
--- a/crates/conf/src/site_file.rs
+++ b/crates/conf/src/site_file.rs
@@ -1,38 +1,96 @@
-//! The limits in a site's own file, and the combination of all its files.
+//! A site's own file with the limits and the client accounts, and the combination of all its files.
 
 use {
     crate::{
+        account_section::{ACCOUNT_KEYS, AccountSection},
         ini_file::IniFile,
         problem::{Problem, Problems},
         service_file::ServiceFile,
     },
-    site::{CallerLimits, Config, Route},
+    site::{ApiKeys, CallerLimits, Config, KeyDigest, Route},
     std::sync::Arc,
-    unit::{Name, Set},
+    unit::{Map, Name, Set},
 };
 
+/// The prefix of an account's section, before the account's name.
+const ACCOUNT: &str = "account ";
 const LIMITS: &str = "limits";
 const LIMIT_KEYS: &[&str] = &["body_bytes", "head_bytes", "head_ms", "idle_ms"];
 const MAX_BYTES: usize = 1 << 30;
 const MAX_MS: u64 = 3_600_000;
 
-/// Parses the limits on callers from `text`, the contents of the file named `file`.
-///
-/// # Errors
-/// Fails with all problems in the file.
-pub fn parse_limits(file: &str, text: &str) -> Result<CallerLimits, Problems> {
-    let ini = IniFile::parse(file, text)?;
-    ini.check_sections(|section| (section == LIMITS).then_some(LIMIT_KEYS));
+/// What a site's own file says.
+#[derive(Clone, Default)]
+pub struct SiteFile {
+    accounts: Vec<AccountSection>,
+    /// The limits on callers.
+    pub limits: CallerLimits,
+}
+
+impl SiteFile {
+    /// Parses `text`, the contents of the file named `file`.
+    ///
+    /// # Errors
+    /// Fails with all problems in the file.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Problems> {
+        let ini = IniFile::parse(file, text)?;
+        ini.check_sections(|section| match section {
+            LIMITS => Some(LIMIT_KEYS),
+            account if account.starts_with(ACCOUNT) => Some(ACCOUNT_KEYS),
+            _ => None,
+        });
+        let accounts = ini
+            .sections()
+            .into_iter()
+            .filter_map(|section| Some((section, section.strip_prefix(ACCOUNT)?.trim())))
+            .filter_map(|(section, name)| AccountSection::read(&ini, section, name))
+            .collect();
+        check_keys(&ini, &accounts);
+        let limits = read_limits(&ini);
+        ini.finish(Some(Self { accounts, limits }))
+    }
+
+    /// The keys of its accounts in clear text, which only a write to the store needs.
+    pub fn api_keys(&self) -> ApiKeys {
+        let mut keys = ApiKeys::default();
+        for section in &self.accounts {
+            keys.insert(section.account.name.clone(), section.keys.clone());
+        }
+        keys
+    }
+}
+
+/// Reports the names and the keys that two accounts have.
+fn check_keys(ini: &IniFile<'_>, accounts: &Vec<AccountSection>) {
+    let mut holders: Map<KeyDigest, &Name> = Map::default();
+    let mut names: Set<&Name> = Set::default();
+    for AccountSection { account, .. } in accounts {
+        let section = format!("{ACCOUNT}{}", account.name);
+        if !names.insert(&account.name) {
+            let remedy = "give each account its own name";
+            ini.report(&section, "", "another account has this name", remedy);
+        }
+        for key in &account.keys {
+            let holder = holders.entry(*key).or_insert(&account.name);
+            if **holder != account.name {
+                let message = format!("account {holder} has one of these keys");
+                ini.report(&section, "keys", &message, "give each account its own keys");
+            }
+        }
+    }
+}
+
+/// Reads the limits on callers.
+fn read_limits(ini: &IniFile<'_>) -> CallerLimits {
     let default = CallerLimits::default();
     let millis =
         |key, default: unit::Span| ini.millis(LIMITS, key, 1..=MAX_MS, default.as_millis());
-    let limits = CallerLimits {
+    CallerLimits {
         body_bytes: ini.number(LIMITS, "body_bytes", 0..=MAX_BYTES, default.body_bytes),
         head_bytes: ini.number(LIMITS, "head_bytes", 256..=MAX_BYTES, default.head_bytes),
         head_timeout: millis("head_ms", default.head_timeout),
         idle_timeout: millis("idle_ms", default.idle_timeout),
-    };
-    ini.finish(Some(limits))
+    }
 }
 
 /// Combines a site's files into a configuration. Each service file comes with its own name, for
@@ -43,11 +101,16 @@
 /// target has no file.
 pub fn compile(
     files: &[(String, ServiceFile)],
-    limits: CallerLimits,
+    site: &SiteFile,
     version: u64,
 ) -> Result<Config, Problems> {
+    let accounts = site.accounts.iter().map(|section| {
+        let account = section.account.clone();
+        (account.name.clone(), Arc::new(account))
+    });
     let mut config = Config {
-        limits,
+        accounts: accounts.collect(),
+        limits: site.limits,
         version,
         ..Config::default()
     };
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -281,6 +281,9 @@
             &request.body,
         );
         let name = account.as_ref().map(|account| account.name.clone());
+        if let Some(name) = &name {
+            self.account_usage.count(name);
+        }
         let arrival = Arrival {
             account,
             call: id,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        account_usage::AccountUsage,
         channel::Channel,
         conn::{Conn, ConnKind},
         constants::LINGER_TIMEOUT,
@@ -48,6 +49,8 @@
 
 /// The state of the daemon process. One thread owns it: the event loop in [`Self::run`].
 pub(crate) struct Daemon {
+    /// The requests of each client account that this daemon admitted.
+    pub(crate) account_usage: AccountUsage,
     /// The other daemons that were alive at the last check, to log which ones came and went.
     pub(crate) alive_peers: Set<Name>,
     /// Requests that have no response yet.
@@ -152,6 +155,7 @@
         let table = WorkerTable::new(settings.name.clone(), settings.centre.clone());
         let policy = Policy::new(settings.bounds);
         let mut daemon = Self {
+            account_usage: AccountUsage::default(),
             alive_peers: Set::default(),
             calls: Map::default(),
             hold: StartupHold::new(now),
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -45,21 +45,6 @@
             .collect()
     }
 
-    /// How many client accounts there are, and which are not in force as they are configured.
-    fn accounts_json(&self) -> Value {
-        let problems = self
-            .config
-            .iter()
-            .flat_map(|config| &config.account_problems);
-        let problems: Vec<Value> = problems
-            .map(|problem| json!({"account": problem.account, "reason": problem.reason}))
-            .collect();
-        json!({
-            "count": self.config.as_ref().map_or(0, |config| config.accounts.len()),
-            "problems": problems,
-        })
-    }
-
     fn members_json(&self, now: Time) -> Vec<Value> {
         let members = self.roster.members().iter();
         members
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! One thread does everything except writing the log. It waits for socket readiness and for the
 //! next timer, passes events to the state machines and carries out the actions that these return.
 
+mod account_usage;
 mod admin;
 mod admission;
 mod arguments;
--- a/crates/daemon/src/site_changes.rs
+++ b/crates/daemon/src/site_changes.rs
@@ -57,6 +57,7 @@
                 self.log_event(now, log_event::CONFIG_IN_FORCE, fields);
                 if let Some(config) = self.config.clone() {
                     self.report_problems(now, &config);
+                    self.account_usage.retain(&config);
                     self.dispatcher.configure(config);
                 }
             }
--- a/crates/daemon/tests/failures/accounts.rs
+++ b/crates/daemon/tests/failures/accounts.rs
@@ -141,6 +141,15 @@
         let line = format!("anvilferry_key_refusals_total{{reason=\"{reason}\"}} {count}");
         assert!(metrics.contains(&line), "{metrics}");
     }
+    let shown = &state_dump(&fleet, 0)["accounts"]["shown"];
+    assert_eq!(
+        (&shown[0]["name"], &shown[0]["requests"]),
+        (&"acme".into(), &1.into())
+    );
+    assert_eq!(
+        (&shown[1]["name"], &shown[1]["requests"]),
+        (&"blue".into(), &1.into())
+    );
     let log = fleet.log(0).unwrap_or_default();
     let dump = state_dump(&fleet, 0).to_string();
     for page in [&metrics, &log, &dump] {
--- a/crates/site/src/key_digest.rs
+++ b/crates/site/src/key_digest.rs
@@ -13,6 +13,11 @@
     pub fn of(key: &str) -> Self {
         Self(Sha256::digest(key).into())
     }
+
+    /// Whether a text can be sent as a key: it isn't empty and has no spaces or control characters.
+    pub fn is_key(text: &str) -> bool {
+        !text.is_empty() && !text.contains(|c: char| c.is_whitespace() || c.is_control())
+    }
 }
 
 impl Debug for KeyDigest {
