--- a/crates/cli/src/command/publish.rs
+++ b/crates/cli/src/command/publish.rs
@@ -42,7 +42,8 @@
             return Err(CliError::Conflict(message));
         }
         let version = current_version.unwrap_or_default() + 1;
-        let config = Arc::new(read_site(&self.paths, version)?);
+        let (config, keys) = read_site(&self.paths, version)?;
+        let config = Arc::new(config);
         let unchanged = current
             .as_ref()
             .is_some_and(|current| differences(&current.value, &config).is_empty());
@@ -52,7 +53,11 @@
                 format!("nothing has changed since version {}\n", version - 1)
             });
         }
-        let call = StoreCall::PutConfig(Arc::clone(&config), current.as_ref().map(base_version));
+        let call = StoreCall::PutConfig(
+            Arc::clone(&config),
+            current.as_ref().map(base_version),
+            Arc::new(keys),
+        );
         match store.write(&call)? {
             WriteOutcome::Done => {}
             WriteOutcome::Conflict | WriteOutcome::NotFound => {
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -17,6 +17,7 @@
             "centre": self.settings.centre,
             "stage": format!("{:?}", self.stage).to_lowercase(),
             "config": self.config.as_ref().map(|config| config.version),
+            "accounts": self.accounts_json(),
             "problems": self.problems_json(),
             "age_ms": self.roster.staleness(now, &own).as_millis(),
             "watch": format!("{:?}", own.watch).to_lowercase(),
@@ -76,6 +77,7 @@
             .map(|active| {
                 json!({
                     "request": active.id,
+                    "account": active.account,
                     "elapsed_ms": now.since(active.started).as_millis(),
                 })
             })
--- a/crates/daemon/src/site_changes.rs
+++ b/crates/daemon/src/site_changes.rs
@@ -57,6 +57,7 @@
                 self.log_event(now, log_event::CONFIG_IN_FORCE, fields);
                 if let Some(config) = self.config.clone() {
                     self.report_problems(now, &config);
+                    self.account_usage.retain(&config);
                     self.dispatcher.configure(config);
                 }
             }
@@ -104,7 +105,8 @@
         }
     }
 
-    /// Logs and counts the routes of a configuration that aren't served as they are configured.
+    /// Logs and counts the routes and accounts of a configuration that aren't in force as they are
+    /// configured.
     fn report_problems(&mut self, now: Time, config: &Config) {
         let mut count = 0;
         for (route, reason) in config.problems() {
@@ -113,5 +115,16 @@
             self.log_event(now, log_event::ROUTE_PROBLEM, fields);
         }
         self.metrics.route_problems.set(count);
+        for problem in &config.account_problems {
+            let fields = json!({
+                "version": config.version,
+                "account": problem.account,
+                "reason": problem.reason,
+            });
+            self.log_event(now, log_event::ACCOUNT_PROBLEM, fields);
+        }
+        // The number of entries of a configuration is far below the range.
+        let count = config.account_problems.len() as i64;
+        self.metrics.account_problems.set(count);
     }
 }
