Daemons of two builds side by side: handshake, legacy shapes, extended fetches and forwards

- The roster offers extended heartbeats to a member that sends legacy ones (three, and three more after ten minutes) and answers an offer at once.
Members that aren't alive get legacy messages again, since they may have been started with the earlier build.
- Watchers, fetches and staleness rely only on members that read extended messages.
- Fetch is answered in the legacy form.
FetchExtended carries revisions by topic and is answered with sections by topic.
- daemon::sections is where sections of heartbeats are added and handled.
- Gossip no longer tells a receiver of itself, which it ignores.

--- a/crates/call/benches/selection.rs
+++ b/crates/call/benches/selection.rs
@@ -50,6 +50,7 @@
     let mut times = Vec::new();
     for number in 0..REQUESTS {
         let arrival = Arrival {
+            account: None,
             call: CallId(number),
             fingerprint: Fingerprint(number),
             forwarded: None,
--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -61,6 +61,8 @@
 /// At most one probe is in flight at a time, and none while `selection` is idle.
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
+    /// The client account that the request belongs to.
+    pub(crate) account: Option<Name>,
     /// The probe in flight.
     pub(crate) probe: Option<Probe>,
     /// The workers probed in this round of worker selection.
@@ -115,6 +117,7 @@
         deadline: Time,
     ) -> Self {
         Self {
+            account: None,
             probe: None,
             probed: Vec::new(),
             attempts: Vec::new(),
--- a/crates/call/src/call_event.rs
+++ b/crates/call/src/call_event.rs
@@ -14,6 +14,8 @@
 /// A request that has arrived from a caller.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    /// The client account that the request belongs to; `None` if it has none.
+    pub account: Option<Name>,
     /// The new request's number.
     pub call: CallId,
     /// By what the request is known when it comes again.
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -180,6 +180,7 @@
     fn arrived(&mut self, now: Time, arrival: Arrival) {
         let max_wait = arrival.max_wait();
         let Arrival {
+            account,
             call: id,
             fingerprint,
             forwarded,
@@ -196,6 +197,7 @@
             return;
         };
         let mut call = Call::new(fingerprint, route, service, now, now + max_wait);
+        call.account = account;
         match forwarded {
             // The daemon at which it arrived has counted it.
             Some(forwarded) => {
--- a/crates/call/src/forwarding.rs
+++ b/crates/call/src/forwarding.rs
@@ -92,9 +92,13 @@
         let (service, selection) = (call.service.clone(), call.selection);
         let (repeat, first) = (call.sends > 0, call.asked.is_empty());
         let attempts = call.max_attempts - call.sends;
-        let helper = self
-            .helpers
-            .choose(now, &service, &call.asked, &mut self.rng);
+        let helper = self.helpers.choose(
+            now,
+            &service,
+            &call.asked,
+            call.account.is_some(),
+            &mut self.rng,
+        );
         let Some(helper) = helper else {
             return false;
         };
--- a/crates/call/tests/dispatcher/forwarding.rs
+++ b/crates/call/tests/dispatcher/forwarding.rs
@@ -6,6 +6,7 @@
         Arrival, AttemptEnding, AttemptReport, CallAction, CallError, CallEvent, CallId,
         ForwardEnding, Forwarded, LinkId, Policy,
     },
+    forward::HelperMember,
     poison::Fingerprint,
     site::{Notice, Route, RouteKind},
     std::{net::Ipv4Addr, sync::Arc},
@@ -30,7 +31,11 @@
 /// A dispatcher that knows helpers.
 fn helped() -> Harness {
     let mut harness = Harness::new(&["w", "x", "y", "z"]);
-    let helpers = HELPERS.map(|ip| (ip, true));
+    let helpers = HELPERS.map(|ip| HelperMember {
+        ip,
+        local: true,
+        reads_account: true,
+    });
     harness.dispatcher.helpers.set_members(helpers.into_iter());
     harness
 }
@@ -87,6 +92,7 @@
 /// Lets a request arrive that another daemon forwards.
 fn arrive_from_peer(harness: &mut Harness, number: u64, attempts: u32) {
     harness.handle(CallEvent::Arrived(Arrival {
+        account: None,
         call: CallId(1_000 + number),
         fingerprint: Fingerprint(1_000 + number),
         forwarded: Some(Forwarded {
--- a/crates/call/tests/dispatcher/harness.rs
+++ b/crates/call/tests/dispatcher/harness.rs
@@ -147,6 +147,7 @@
         let call = CallId(self.next_call);
         self.next_call += 1;
         self.handle(CallEvent::Arrived(Arrival {
+            account: None,
             call,
             fingerprint: Fingerprint(call.0),
             forwarded: None,
--- a/crates/call/tests/dispatcher/random.rs
+++ b/crates/call/tests/dispatcher/random.rs
@@ -7,6 +7,7 @@
         ForwardOrder, LinkId, Liveness, Policy, ProbeFailure,
     },
     fastrand::Rng,
+    forward::HelperMember,
     quickcheck::quickcheck,
     site::RouteKind,
     std::{net::Ipv4Addr, sync::Arc},
@@ -55,7 +56,11 @@
         let mut policy = Policy::new(bounds());
         policy.bounds.probe_rate = if seed & 1 == 0 { 10_000.0 } else { 10.0 };
         let mut harness = Harness::with_policy(&["w", "x", "y", "z"], policy);
-        let helpers = [1, 2, 3, 4].map(|last| (Ipv4Addr::new(10, 0, 1, last), last < 3));
+        let helpers = [1, 2, 3, 4].map(|last| HelperMember {
+            ip: Ipv4Addr::new(10, 0, 1, last),
+            local: last < 3,
+            reads_account: true,
+        });
         harness.dispatcher.helpers.set_members(helpers.into_iter());
         Self {
             records: Map::default(),
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -214,6 +214,7 @@
         let route = Arc::clone(&self.routes[caller.workload]);
         self.daemons[daemon_index].callers.insert(call, caller);
         let arrival = Arrival {
+            account: None,
             call,
             fingerprint: Fingerprint(call.0),
             forwarded: None,
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -11,7 +11,7 @@
         requests::ActiveRequest,
     },
     call::{Arrival, CallEvent, CallId, Forwarded},
-    forward::ForwardRequest,
+    forward::ForwardExtended,
     peer::Stage,
     platform::{RequestHead, problem_response},
     poison::Fingerprint,
@@ -36,7 +36,7 @@
     arrived: Time,
     form: ResponseForm,
     /// What another daemon said of it, if one forwarded it.
-    forwarded: Option<ForwardRequest>,
+    forwarded: Option<ForwardExtended>,
     head: RequestHead,
     request: Request,
 }
@@ -155,7 +155,7 @@
         match self.route(now, &head.host, request.path()) {
             Ok(route)
                 if forwarded.as_ref().is_some_and(|forwarded| {
-                    !self.takes_forwarded(forwarded, &request, &route)
+                    !self.takes_forwarded(&forwarded.request, &request, &route)
                 }) =>
             {
                 self.decline_forwarded(now, conn_key);
@@ -213,6 +213,9 @@
         if forwarded.is_some() {
             self.record_taken(now, conn_key, &head.id);
         }
+        let account = forwarded
+            .as_ref()
+            .and_then(|forwarded| forwarded.account.clone());
         let id = CallId(self.next_call);
         self.next_call += 1;
         let Some(conn) = self.conns.get(conn_key) else {
@@ -225,17 +228,19 @@
             &request.body,
         );
         let arrival = Arrival {
+            account: account.clone(),
             call: id,
             fingerprint,
             forwarded: forwarded.map(|forwarded| Forwarded {
-                attempts: forwarded.attempts,
-                service: forwarded.service,
+                attempts: forwarded.request.attempts,
+                service: forwarded.request.service,
             }),
             timeout: head.deadline,
             route,
             waited: now.since(arrived),
         };
         let active = ActiveRequest {
+            account,
             deadline: now + arrival.max_wait(),
             fingerprint,
             forwarded: arrival.forwarded.is_some(),
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -10,7 +10,7 @@
         requests::ActiveRequest,
     },
     call::{CallEvent, CallId},
-    forward::{ForwardReply, ForwardRequest},
+    forward::{ForwardExtended, ForwardReply},
     platform::problem_response,
     serde_json::json,
     site::CallerLimits,
@@ -84,7 +84,7 @@
     pub(crate) closing: bool,
     /// What another daemon said of the request that it forwards; `None` on a caller's own
     /// connection.
-    pub(crate) forwarded: Option<ForwardRequest>,
+    pub(crate) forwarded: Option<ForwardExtended>,
     /// When the first bytes arrived that are held because this daemon has just started.
     pub(crate) held_since: Option<Time>,
     /// When the first bytes of an incomplete request arrived; `None` if there are none.
@@ -117,7 +117,7 @@
     }
 
     /// The state of a new connection of a caller, or of another daemon that forwards a request.
-    pub(crate) fn new_caller_conn(&self, forwarded: Option<ForwardRequest>) -> ConnKind {
+    pub(crate) fn new_caller_conn(&self, forwarded: Option<ForwardExtended>) -> ConnKind {
         let limits = self.caller_limits();
         ConnKind::Caller(CallerConn {
             closing: false,
--- a/crates/daemon/src/fetches.rs
+++ b/crates/daemon/src/fetches.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{conn::ConnKind, constants::FETCH_TIMEOUT, daemon::Daemon, log_event},
-    peer::{FetchRequest, FrameCodec, PeerRequest},
+    forward::ForwardExtended,
+    peer::{ChangeSection, FrameCodec, PeerError, PeerRequest, TopicRevs},
     serde_json::json,
-    site::Change,
+    site::{Change, LegacyChange, Revs},
     std::net::Ipv4Addr,
     unit::Time,
     wire::ConnectionEnd,
@@ -74,26 +75,43 @@
             return;
         };
         match server.codec.decode::<PeerRequest>() {
-            Ok(Some(PeerRequest::Forward(request))) => self.accept_forward(now, conn_key, request),
-            Ok(Some(PeerRequest::FetchExtended(_) | PeerRequest::ForwardExtended(_))) => {
-                self.reject_peer(now, conn_key, "extended requests are not served");
+            Ok(Some(PeerRequest::Forward(request))) => {
+                let request = ForwardExtended {
+                    account: None,
+                    request,
+                };
+                self.accept_forward(now, conn_key, request);
+            }
+            Ok(Some(PeerRequest::ForwardExtended(request))) => {
+                self.accept_forward(now, conn_key, request);
             }
             Ok(Some(PeerRequest::Fetch(request))) => {
                 server.answered = true;
-                let changes = self.view.changes_since(&request.revs);
-                match FrameCodec::encode(&changes) {
-                    Ok(out) => {
-                        // A failure is ignored here; the next read of the connection reports it.
-                        let _ = self.write_conn(conn_key, &out, now);
-                    }
-                    Err(error) => self.reject_peer(now, conn_key, &error.to_string()),
-                }
+                let reply = legacy_reply(&self.view.changes_since(&request.revs));
+                self.reply_to_fetch(now, conn_key, reply);
+            }
+            Ok(Some(PeerRequest::FetchExtended(known))) => {
+                server.answered = true;
+                let mut revs = Revs::default();
+                known.raise(&mut revs);
+                let reply = extended_reply(&self.view.changes_since(&revs));
+                self.reply_to_fetch(now, conn_key, reply);
             }
             Ok(None) => {}
             Err(error) => self.reject_peer(now, conn_key, &error.to_string()),
         }
     }
 
+    fn reply_to_fetch(&mut self, now: Time, conn_key: usize, reply: Result<Vec<u8>, PeerError>) {
+        match reply {
+            Ok(out) => {
+                // A failure is ignored here; the next read of the connection reports it.
+                let _ = self.write_conn(conn_key, &out, now);
+            }
+            Err(error) => self.reject_peer(now, conn_key, &error.to_string()),
+        }
+    }
+
     /// Handles bytes that arrived on a connection on which this daemon fetches, and its end.
     pub(crate) fn fetch_client_read(
         &mut self,
@@ -110,23 +128,36 @@
         };
         client.codec.push(bytes);
         let source = client.from.to_string();
-        match client.codec.decode::<Vec<Change>>() {
-            Ok(Some(changes)) => {
+        match client.codec.decode::<Vec<ChangeSection>>() {
+            Ok(Some(sections)) => {
                 self.end_fetch(conn_key);
-                for change in changes {
-                    self.apply_change(now, change, &source);
+                for section in sections {
+                    self.apply_section(now, &section, &source);
                 }
             }
             Ok(None) if ending.is_none() => {}
             Ok(None) => self.end_fetch(conn_key),
             Err(error) => {
                 self.end_fetch(conn_key);
-                let fields = json!({"peer": source, "reason": error.to_string()});
-                self.log_event(now, log_event::PEER_MESSAGE_REFUSED, fields);
+                self.log_refused(now, &source, &error);
             }
         }
     }
 
+    /// Applies a fetched change, unless it is about a topic that this build doesn't know.
+    fn apply_section(&mut self, now: Time, section: &ChangeSection, source: &str) {
+        match section.change() {
+            Ok(Some(change)) => self.apply_change(now, change, source),
+            Ok(None) => {}
+            Err(error) => self.log_refused(now, source, &error),
+        }
+    }
+
+    fn log_refused(&mut self, now: Time, source: &str, error: &PeerError) {
+        let fields = json!({"peer": source, "reason": error.to_string()});
+        self.log_event(now, log_event::PEER_MESSAGE_REFUSED, fields);
+    }
+
     /// Closes the connection of a fetch. The next heartbeat that reports newer revisions starts
     /// another fetch.
     pub(crate) fn end_fetch(&mut self, conn_key: usize) {
@@ -139,9 +170,7 @@
         if self.fetching {
             return;
         }
-        let request = PeerRequest::Fetch(FetchRequest {
-            revs: self.view.revs(),
-        });
+        let request = PeerRequest::FetchExtended(TopicRevs::new(&self.view.revs()));
         let Ok(bytes) = FrameCodec::encode(&request) else {
             return;
         };
@@ -169,3 +198,16 @@
         );
     }
 }
+
+/// The reply to a daemon that reads only legacy messages.
+fn legacy_reply(changes: &[Change]) -> Result<Vec<u8>, PeerError> {
+    let changes: Vec<LegacyChange> = changes.iter().filter_map(LegacyChange::new).collect();
+    FrameCodec::encode(&changes)
+}
+
+/// The reply to a daemon that reads extended messages.
+fn extended_reply(changes: &[Change]) -> Result<Vec<u8>, PeerError> {
+    let sections: Result<Vec<ChangeSection>, PeerError> =
+        changes.iter().map(ChangeSection::new).collect();
+    FrameCodec::encode(&sections?)
+}
--- a/crates/daemon/src/forwards.rs
+++ b/crates/daemon/src/forwards.rs
@@ -3,8 +3,8 @@
 use {
     crate::{conn::ConnKind, constants::MAX_RESPONSE_BYTES, daemon::Daemon, workers::LinkState},
     call::{CallError, CallEvent, CallId, ForwardEnding, ForwardOrder, LinkId, keeps_whole},
-    forward::{ForwardReply, ForwardRequest},
-    peer::{FrameCodec, PeerRequest},
+    forward::{ForwardExtended, ForwardReply, ForwardRequest},
+    peer::{Format, FrameCodec, PeerRequest},
     platform::{encode_passed_on, read_response_head},
     site::Notice,
     unit::{Name, Span, Time},
@@ -67,11 +67,20 @@
             time_left,
         } = *order;
         let active = self.calls.get(&call)?;
-        let head = PeerRequest::Forward(ForwardRequest {
+        let request = ForwardRequest {
             attempts,
             config: self.config.as_ref()?.version,
             service: self.dispatcher.service_of(call)?.clone(),
-        });
+        };
+        let account = active.account.clone();
+        let head = match (self.roster.format_of(now, helper), account) {
+            (Format::Extended, account) => {
+                PeerRequest::ForwardExtended(ForwardExtended { account, request })
+            }
+            (Format::Legacy, None) => PeerRequest::Forward(request),
+            // The helper was restarted with another build since it was chosen.
+            (Format::Legacy, Some(_)) => return None,
+        };
         let mut bytes = FrameCodec::encode(&head).ok()?;
         bytes.extend(encode_passed_on(&active.request, time_left));
         let kind = ConnKind::Forward(ForwardConn {
--- a/crates/daemon/src/helping.rs
+++ b/crates/daemon/src/helping.rs
@@ -9,7 +9,7 @@
         requests::ActiveRequest,
     },
     call::{CallError, CallId},
-    forward::{ForwardReply, ForwardRequest, Intake},
+    forward::{ForwardExtended, ForwardReply, ForwardRequest, Intake},
     peer::{FrameCodec, Stage},
     serde_json::json,
     site::Route,
@@ -21,7 +21,7 @@
 impl Daemon {
     /// Turns the connection on which another daemon forwards a request into one that is read like a
     /// caller's. One that doesn't come from a registered daemon is closed.
-    pub(crate) fn accept_forward(&mut self, now: Time, conn_key: usize, request: ForwardRequest) {
+    pub(crate) fn accept_forward(&mut self, now: Time, conn_key: usize, request: ForwardExtended) {
         let Some(conn) = self.conns.get_mut(conn_key) else {
             return;
         };
@@ -47,7 +47,7 @@
     }
 
     /// What another daemon said of the request on a connection; `None` if it is a caller's.
-    pub(crate) fn forwarded(&self, conn_key: usize) -> Option<&ForwardRequest> {
+    pub(crate) fn forwarded(&self, conn_key: usize) -> Option<&ForwardExtended> {
         match &self.conns.get(conn_key)?.kind {
             ConnKind::Caller(caller) => caller.forwarded.as_ref(),
             _ => None,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 mod relays;
 mod requests;
 mod run;
+mod sections;
 mod shutdown;
 mod signals;
 mod site_changes;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{daemon::Daemon, log_event},
+    forward::HelperMember,
     peer::{
         CoarseAge, Datagram, Format, Heartbeat, LIMITS_ONE_IN, LimitEntry, MAX_CRASHES, MAX_LIMITS,
         MAX_UNREACHED, News, OwnState, RosterAction, Stage, Watch,
@@ -114,7 +115,11 @@
                 && self.roster.is_alive(member, now)
                 && region(&member.centre) == Some(&settings.region)
         });
-        let helpers = near.map(|member| (member.ip, member.centre == settings.centre));
+        let helpers = near.map(|member| HelperMember {
+            ip: member.ip,
+            local: member.centre == settings.centre,
+            reads_account: member.format == Format::Extended,
+        });
         self.dispatcher.helpers.set_members(helpers);
     }
 
@@ -144,12 +149,12 @@
         for action in actions {
             match action {
                 RosterAction::Fetch(ip) => self.start_fetch(now, ip),
-                RosterAction::Send(ip, mut heartbeat) => {
-                    heartbeat.add_news(News {
-                        unreached: self.dispatcher.unreached(MAX_UNREACHED),
-                        ..News::default()
-                    });
-                    self.send_heartbeat(now, ip, &heartbeat);
+                RosterAction::Offer(ip, heartbeat) => {
+                    self.send_heartbeat(now, ip, Format::Extended, *heartbeat);
+                }
+                RosterAction::Send(ip, heartbeat) => {
+                    let format = self.roster.format_of(now, ip);
+                    self.send_heartbeat(now, ip, format, *heartbeat);
                 }
             }
         }
@@ -192,9 +197,22 @@
         SocketAddrV4::new(ip, self.settings.peer_ports.0)
     }
 
-    fn send_heartbeat(&mut self, now: Time, ip: Ipv4Addr, heartbeat: &Heartbeat) {
-        let format = self.roster.format_of(ip);
-        let bytes = match Datagram::encode_heartbeat(format, heartbeat, &[]) {
+    fn send_heartbeat(
+        &mut self,
+        now: Time,
+        ip: Ipv4Addr,
+        format: Format,
+        mut heartbeat: Heartbeat,
+    ) {
+        heartbeat.add_news(News {
+            unreached: self.dispatcher.unreached(MAX_UNREACHED),
+            ..News::default()
+        });
+        let sections = match format {
+            Format::Extended => self.heartbeat_sections(now),
+            Format::Legacy => Vec::new(),
+        };
+        let bytes = match Datagram::encode_heartbeat(format, &heartbeat, &sections) {
             Ok(bytes) => bytes,
             Err(error) => {
                 let fields = json!({"reason": error.to_string()});
@@ -209,10 +227,12 @@
     }
 
     fn handle_heartbeat_datagram(&mut self, now: Time, bytes: &[u8], from: SocketAddr) {
-        let (format, heartbeat) = match Datagram::decode(bytes) {
+        let (format, heartbeat, sections) = match Datagram::decode(bytes) {
             Ok(Datagram::Heartbeat {
-                format, heartbeat, ..
-            }) => (format, heartbeat),
+                format,
+                heartbeat,
+                sections,
+            }) => (format, heartbeat, sections),
             Ok(Datagram::Quota(_) | Datagram::Unknown) => return,
             Err(error) => {
                 let fields = json!({"peer": from.to_string(), "reason": error.to_string()});
@@ -229,11 +249,9 @@
             return;
         }
         let own = self.own_state();
-        let actions = self.roster.handle_heartbeat(now, &heartbeat, &own);
-        if format == Format::Extended {
-            self.roster.record_extended(&heartbeat.name);
-        }
+        let actions = self.roster.handle_heartbeat(now, &heartbeat, format, &own);
         self.run_roster_actions(now, actions);
+        self.handle_sections(now, &heartbeat.name, &sections);
         let news = heartbeat.news.unwrap_or_default();
         self.dispatcher
             .helpers
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -15,6 +15,8 @@
 /// A caller's request that has no response yet.
 #[derive(Debug)]
 pub(crate) struct ActiveRequest {
+    /// The client account that it belongs to; `None` if it has none.
+    pub(crate) account: Option<Name>,
     /// When its time is over.
     pub(crate) deadline: Time,
     /// By what the request is known when it comes again.
--- a/crates/forward/src/helpers.rs
+++ b/crates/forward/src/helpers.rs
@@ -23,6 +23,8 @@
     in_flight: u32,
     /// Whether it is in this daemon's data centre.
     local: bool,
+    /// Whether it reads the client account of a request.
+    reads_account: bool,
     /// When it last said what it is cut off from.
     reported_at: Time,
     /// The hashes of the services that it is cut off from.
@@ -36,17 +38,30 @@
     }
 }
 
+/// A daemon that may take requests of this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HelperMember {
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Whether it is in this daemon's data centre.
+    pub local: bool,
+    /// Whether it reads the client account of a request. Daemons of builds up to 02d23ad don't.
+    pub reads_account: bool,
+}
+
 /// The daemons that may take requests of this one, by their addresses.
 #[derive(Clone, Debug, Default)]
 pub struct Helpers(Map<Ipv4Addr, Helper>);
 
 impl Helpers {
-    /// Replaces the daemons that may help, each with whether it is in this daemon's data centre.
-    pub fn set_members(&mut self, members: impl Iterator<Item = (Ipv4Addr, bool)>) {
+    /// Replaces the daemons that may help.
+    pub fn set_members(&mut self, members: impl Iterator<Item = HelperMember>) {
         let mut kept = Set::default();
-        for (ip, local) in members {
-            self.0.entry(ip).or_default().local = local;
-            kept.insert(ip);
+        for member in members {
+            let helper = self.0.entry(member.ip).or_default();
+            helper.local = member.local;
+            helper.reads_account = member.reads_account;
+            kept.insert(member.ip);
         }
         self.0.retain(|ip, _| kept.contains(ip));
     }
@@ -60,13 +75,15 @@
     }
 
     /// The helper for a request to a service, other than those that were `asked` already: of two at
-    /// random the one with fewer requests in flight. Those of the own data centre are preferred
+    /// random the one with fewer requests in flight. It reads the request's client account if it
+    /// `has_account`. Those of the own data centre are preferred
     /// unless too many of the daemons there need help.
     pub fn choose(
         &self,
         now: Time,
         service: &str,
         asked: &[Ipv4Addr],
+        has_account: bool,
         rng: &mut Rng,
     ) -> Option<Ipv4Addr> {
         let service = service_hash(service);
@@ -75,6 +92,7 @@
             .0
             .iter()
             .filter(|(ip, helper)| !asked.contains(ip) && helper.avoid_until <= now && !cut(helper))
+            .filter(|(_, helper)| helper.reads_account || !has_account)
             .map(|(ip, helper)| (*ip, helper))
             .collect();
         let local: Vec<(Ipv4Addr, &Helper)> = open
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,7 +7,7 @@
 mod reach;
 
 pub use {
-    helpers::{Helpers, service_hash},
+    helpers::{HelperMember, Helpers, service_hash},
     intake::Intake,
     message::{ForwardExtended, ForwardReply, ForwardRequest},
     reach::Reach,
--- a/crates/forward/tests/helpers.rs
+++ b/crates/forward/tests/helpers.rs
@@ -2,7 +2,7 @@
 
 use {
     fastrand::Rng,
-    forward::{ForwardRequest, Helpers, Intake, service_hash},
+    forward::{ForwardRequest, HelperMember, Helpers, Intake, service_hash},
     std::net::Ipv4Addr,
     unit::{Set, Span, Time},
 };
@@ -13,10 +13,15 @@
     Ipv4Addr::new(10, 0, 0, last)
 }
 
-/// Daemons 1 to 3 in this daemon's data centre, 4 to 6 in another one.
+/// Daemons 1 to 3 in this daemon's data centre, 4 to 6 in another one. Daemons 2 and 4 don't read a
+/// request's account.
 fn helpers() -> Helpers {
     let mut helpers = Helpers::default();
-    helpers.set_members((1..=6).map(|last| (ip(last), last <= 3)));
+    helpers.set_members((1..=6).map(|last| HelperMember {
+        ip: ip(last),
+        local: last <= 3,
+        reads_account: last != 2 && last != 4,
+    }));
     helpers
 }
 
@@ -24,7 +29,7 @@
 fn chosen(helpers: &Helpers, now: Time, asked: &[Ipv4Addr]) -> Set<Ipv4Addr> {
     let mut rng = Rng::with_seed(1);
     (0..100)
-        .filter_map(|_| helpers.choose(now, "s", asked, &mut rng))
+        .filter_map(|_| helpers.choose(now, "s", asked, false, &mut rng))
         .collect()
 }
 
@@ -38,6 +43,21 @@
     assert_eq!(chosen(&helpers(), NOW, &[ip(1)]), set(&[2, 3]));
 }
 
+/// Guards against a request that a helper would run without its account.
+#[test]
+fn a_request_with_an_account_goes_to_no_helper_that_cannot_read_it() {
+    let helpers = helpers();
+    let mut rng = Rng::with_seed(1);
+    let mut chosen = |asked: &[Ipv4Addr]| -> Set<Ipv4Addr> {
+        (0..100)
+            .filter_map(|_| helpers.choose(NOW, "s", asked, true, &mut rng))
+            .collect()
+    };
+    assert_eq!(chosen(&[]), set(&[1, 3]));
+    assert_eq!(chosen(&[ip(1), ip(3)]), set(&[5, 6]));
+    assert_eq!(chosen(&[1, 3, 5, 6].map(ip)), set(&[]));
+}
+
 #[test]
 fn a_daemon_that_is_cut_off_itself_gets_nothing() {
     let mut helpers = helpers();
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -1,7 +1,7 @@
 //! Datagrams between daemons, in the form that earlier builds read and in an extensible one.
 
 use {
-    crate::{Heartbeat, PeerError, codec, decode, encode},
+    crate::{Heartbeat, PeerError, TopicRevs, codec, decode, encode},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
 };
 
@@ -31,6 +31,9 @@
     Rollouts = 1,
     /// Workers that reject requests although their load reports show room.
     Rejecting = 2,
+    /// The revisions of the topics that the legacy form lacks, as [`TopicRevs`]. They become part of
+    /// [`Heartbeat::revs`].
+    Revs = 3,
 }
 
 /// A part of a heartbeat that a receiver may skip.
@@ -92,7 +95,7 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, PeerError> {
         match bytes {
             [EXTENDED_MARK, LAYOUT, kind, body @ ..] => Self::decode_extended(*kind, body),
-            [EXTENDED_MARK, ..] => Ok(Self::Unknown),
+            [EXTENDED_MARK, _, _, ..] => Ok(Self::Unknown),
             _ => Ok(Self::Heartbeat {
                 format: Format::Legacy,
                 heartbeat: Box::new(decode(bytes)?),
@@ -114,7 +117,17 @@
         let legacy = encode(heartbeat)?;
         match format {
             Format::Legacy => Ok(legacy),
-            Format::Extended => Ok(extended(KIND_HEARTBEAT, encode(&(legacy, sections))?)),
+            Format::Extended => {
+                let revs = TopicRevs::beyond_legacy(&heartbeat.revs);
+                let revs = revs.map(|revs| Section::new(SectionTag::Revs, &revs));
+                let sections: Vec<Section> = sections
+                    .iter()
+                    .cloned()
+                    .map(Ok)
+                    .chain(revs)
+                    .collect::<Result<_, _>>()?;
+                Ok(extended(KIND_HEARTBEAT, encode(&(legacy, sections))?))
+            }
         }
     }
 
@@ -130,9 +143,14 @@
         match kind {
             KIND_HEARTBEAT => {
                 let (legacy, sections): (Vec<u8>, Vec<Section>) = codec::decode(body)?;
+                let mut heartbeat: Box<Heartbeat> = Box::new(decode(&legacy)?);
+                let revs = sections.iter().find(|part| part.has_tag(SectionTag::Revs));
+                if let Some(revs) = revs {
+                    revs.content::<TopicRevs>()?.raise(&mut heartbeat.revs);
+                }
                 Ok(Self::Heartbeat {
                     format: Format::Extended,
-                    heartbeat: Box::new(decode(&legacy)?),
+                    heartbeat,
                     sections,
                 })
             }
--- a/crates/peer/src/election.rs
+++ b/crates/peer/src/election.rs
@@ -2,7 +2,7 @@
 //! entries of daemons that are gone.
 
 use {
-    crate::{Member, OwnState, Roster, Stage, Watch},
+    crate::{Format, Member, OwnState, Roster, Stage, Watch},
     unit::{Name, Set, Span, Time, rendezvous_weight},
 };
 
@@ -52,6 +52,9 @@
 
     /// Whether this daemon is to watch the store.
     ///
+    /// Daemons that read only legacy messages don't count, since this daemon doesn't fetch site
+    /// changes from them.
+    ///
     /// The watcher of a data centre is the first of its daemons whose calls to the store don't
     /// fail; if their view of the site is too stale, the next ones watch too, the more the staler it
     /// is. Right after its start a
@@ -67,8 +70,10 @@
         if now.since(self.started) < DISCOVERY_WAIT {
             return self.registry_known && self.is_first(|_| true);
         }
+        let stale = self.staleness(now, own) >= MAX_STALENESS;
         let candidate = |member: &Member| {
             self.is_alive(member, now)
+                && may_be_source(member, stale)
                 && member.stage != Stage::Leaving
                 && (failing || member.watch != Watch::Failing)
         };
@@ -77,6 +82,7 @@
         let other_failing = self.members.values().any(|member| {
             member.centre == self.centre
                 && self.is_alive(member, now)
+                && may_be_source(member, stale)
                 && member.watch == Watch::Failing
         });
         let before = self.count_before(candidate);
@@ -89,14 +95,15 @@
     }
 
     /// Whether this daemon's data centre is among the first [`LEAD_CENTRES`] that have a daemon which
-    /// is alive, in an order that is the same on all daemons. Their watchers follow the store most
+    /// is alive and reads extended messages, in an order that is the same on all daemons. Their watchers follow the store most
     /// closely, and those of the others mostly hear of changes from them.
     pub fn is_lead_centre(&self, now: Time) -> bool {
         const RANK_KEY: &str = "lead";
         let weight = |centre: &Name| rendezvous_weight(RANK_KEY, centre);
         let own = (weight(&self.centre), &self.centre);
         let alive = self.members.values();
-        let alive = alive.filter(|member| self.is_alive(member, now));
+        let alive =
+            alive.filter(|member| self.is_alive(member, now) && member.format == Format::Extended);
         let before: Set<&Name> = alive
             .map(|member| &member.centre)
             .filter(|centre| (weight(centre), *centre) < own)
@@ -124,8 +131,8 @@
     /// The time since this daemon's view of the site was last known to be current.
     ///
     /// It is zero while this daemon watches the store. Else it is the lowest staleness reported by
-    /// any member that knows no more of the site than this daemon, each plus the time since the
-    /// report. Without such a report it is the time since this daemon's start.
+    /// any member that reads extended messages and knows no more of the site than this daemon, each
+    /// plus the time since the report. Without such a report it is the time since this daemon's start.
     pub fn staleness(&self, now: Time, own: &OwnState) -> Span {
         if own.watch == Watch::Live {
             return Span::ZERO;
@@ -133,6 +140,7 @@
         let reported = self
             .members
             .values()
+            .filter(|member| member.format == Format::Extended)
             .filter(|member| !member.revs.ahead(&own.revs))
             .filter_map(|member| member.staleness)
             .map(|(staleness, at)| staleness + now.since(at));
@@ -140,6 +148,16 @@
     }
 }
 
+/// Whether this daemon may learn of site changes from a member. Most members of a large fleet are
+/// known only through gossip at first, so one of which the format isn't known yet counts unless this
+/// daemon's view is `stale`.
+fn may_be_source(member: &Member, stale: bool) -> bool {
+    match member.format {
+        Format::Extended => true,
+        Format::Legacy => !stale && !member.handshake.is_refused(),
+    }
+}
+
 /// How many daemons of a data centre, in their order, watch the store because of their staleness.
 fn stale_watchers(staleness: Span) -> usize {
     if staleness < MAX_STALENESS {
--- a/crates/peer/src/fetch.rs
+++ b/crates/peer/src/fetch.rs
@@ -1,7 +1,7 @@
 //! Requests for site changes, and the framing of messages on a stream.
 
 use {
-    crate::{PeerError, codec, decode, encode},
+    crate::{PeerError, TopicRevs, codec, decode, encode},
     forward::{ForwardExtended, ForwardRequest},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     site::Revs,
@@ -10,7 +10,8 @@
 /// The size of a frame's length prefix, in bytes.
 const PREFIX_BYTES: usize = 4;
 
-/// Requests the site changes that the sender lacks; the response is a list of [`site::Change`].
+/// Requests the site changes that the sender lacks; the response is a list of
+/// [`site::LegacyChange`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FetchRequest {
     /// The revisions up to which the sender knows the site.
@@ -24,9 +25,10 @@
     Fetch(FetchRequest),
     /// To have the request served that follows.
     Forward(ForwardRequest),
-    /// The site changes that it lacks, as sections that the sender may skip. Only for daemons that
-    /// read extended messages, like the next one.
-    FetchExtended(FetchRequest),
+    /// The site changes that it lacks if it knows the topics up to these revisions; the response is
+    /// a list of [`crate::ChangeSection`]. Only for daemons that read extended messages, like the
+    /// next one.
+    FetchExtended(TopicRevs),
     /// To have the request served that follows, which may belong to a client account.
     ForwardExtended(ForwardExtended),
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! The [`Roster`] is a state machine without sockets. Heartbeats are small datagrams; a daemon that
 //! lacks site changes fetches them over a stream.
 
+mod change_section;
 mod coarse_age;
 mod codec;
 mod datagram;
@@ -11,12 +12,15 @@
 mod error;
 mod fetch;
 mod gossip;
+mod handshake;
 mod heartbeat;
 mod member;
 mod roster;
 mod stage;
+mod topic_revs;
 
 pub use {
+    change_section::ChangeSection,
     coarse_age::CoarseAge,
     codec::{decode, encode},
     datagram::{Datagram, Format, Section, SectionTag},
@@ -29,4 +33,5 @@
     member::Member,
     roster::{HEARTBEAT_PERIOD, OwnState, Roster, RosterAction},
     stage::{Stage, Watch},
+    topic_revs::TopicRevs,
 };
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{Format, Stage, Watch},
+    crate::{Format, Stage, Watch, handshake::Handshake},
     site::Revs,
     std::net::Ipv4Addr,
     unit::{Name, Span, Time},
@@ -22,6 +22,8 @@
     pub last_heard: Option<Time>,
     /// Which messages its current incarnation reads, as far as it has shown.
     pub format: Format,
+    /// The extended heartbeats that were offered to its current incarnation.
+    pub(crate) handshake: Handshake,
     /// Its address.
     pub ip: Ipv4Addr,
     /// The incarnation in the last heartbeat that was received from it.
--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -1,7 +1,9 @@
 //! The state of gossip: which daemons are known, and when each was last heard.
 
 use {
-    crate::{Format, GossipEntry, Heartbeat, Member, Stage, Watch, gossip::FANOUT},
+    crate::{
+        Format, GossipEntry, Heartbeat, Member, Stage, Watch, gossip::FANOUT, handshake::Handshake,
+    },
     fastrand::Rng,
     site::Revs,
     std::net::Ipv4Addr,
@@ -43,9 +45,12 @@
 /// What the daemon is to do for its [`Roster`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum RosterAction {
-    /// Fetch the site changes that this daemon lacks from the daemon at the address.
+    /// Fetch the site changes that this daemon lacks from the daemon at the address, which reads
+    /// extended messages.
     Fetch(Ipv4Addr),
-    /// Send the heartbeat to the address.
+    /// Send the heartbeat to the address in the extended form, to learn whether it is read there.
+    Offer(Ipv4Addr, Box<Heartbeat>),
+    /// Send the heartbeat to the address in the form that is read there.
     Send(Ipv4Addr, Box<Heartbeat>),
 }
 
@@ -105,17 +110,14 @@
         &self.members
     }
 
-    /// Which messages the member at an address reads.
-    pub fn format_of(&self, ip: Ipv4Addr) -> Format {
-        let member = self.members.values().find(|member| member.ip == ip);
-        member.map_or(Format::Legacy, |member| member.format)
-    }
-
-    /// Records that the current incarnation of a member reads extended messages.
-    pub fn record_extended(&mut self, name: &Name) {
-        if let Some(member) = self.members.get_mut(name) {
-            member.format = Format::Extended;
-        }
+    /// Which messages are sent to an address: those that the daemon there reads, or the one that was
+    /// heard last if several members had the address. One that isn't alive gets legacy messages,
+    /// since it may have been started again with an earlier build.
+    pub fn format_of(&self, now: Time, ip: Ipv4Addr) -> Format {
+        let members = self.members.values().filter(|member| member.ip == ip);
+        let last = members.max_by_key(|member| member.last_heard);
+        last.filter(|member| self.is_alive(member, now))
+            .map_or(Format::Legacy, |member| member.format)
     }
 
     /// Adds a daemon, or updates its address if it is known. The own name is ignored.
@@ -183,12 +185,24 @@
         for (index, ip) in targets.into_iter().enumerate() {
             let turn = self.sequence as usize * FANOUT + index;
             let is_full = index < local_count && turn.is_multiple_of(FULL_ONE_IN);
-            let heartbeat = if is_full { &full } else { &short };
-            actions.push(RosterAction::Send(ip, Box::new(heartbeat.clone())));
+            let mut heartbeat = Box::new(if is_full { &full } else { &short }.clone());
+            // The receiver ignores what is said of itself.
+            let receiver = self.hash_at(ip);
+            heartbeat
+                .gossip
+                .retain(|entry| Some(entry.name_hash) != receiver);
+            actions.push(RosterAction::Send(ip, heartbeat));
         }
         actions
     }
 
+    /// The name hash of the member at an address.
+    fn hash_at(&self, ip: Ipv4Addr) -> Option<u32> {
+        let mut members = self.members.iter();
+        let member = members.find(|(_, member)| member.ip == ip);
+        member.map(|(name, _)| name_hash(name))
+    }
+
     /// Sends heartbeats to daemons of the own data centre at once, after this daemon's stage or its
     /// view of the site has changed.
     pub fn announce(&mut self, now: Time, own: &OwnState) -> Vec<RosterAction> {
@@ -200,13 +214,14 @@
             .collect()
     }
 
-    /// Handles a received heartbeat. Fetches from its sender if that knows more of the site.
-    /// Replies if the sender has just started or is new here, asks for contacts, or reports members
-    /// that aren't known here.
+    /// Handles a heartbeat that was received in the form `format`. Fetches from its sender if that
+    /// knows more of the site and reads extended messages. Replies if the sender has just started or
+    /// is new here, asks for contacts, or reports members that aren't known here.
     pub fn handle_heartbeat(
         &mut self,
         now: Time,
         heartbeat: &Heartbeat,
+        format: Format,
         own: &OwnState,
     ) -> Vec<RosterAction> {
         if heartbeat.name == self.name {
@@ -215,6 +230,7 @@
         let Some(new_incarnation) = self.update_sender(now, heartbeat) else {
             return Vec::new();
         };
+        let offer = self.shake_hands(now, heartbeat, format, own);
         for contact in &heartbeat.contacts {
             self.add_member(
                 now,
@@ -231,7 +247,11 @@
             unknown.clear();
         }
         let mut actions = Vec::new();
-        if heartbeat.revs.ahead(&own.revs) {
+        let reads_extended = self
+            .members
+            .get(&heartbeat.name)
+            .is_some_and(|member| member.format == Format::Extended);
+        if reads_extended && heartbeat.revs.ahead(&own.revs) {
             actions.push(RosterAction::Fetch(heartbeat.ip));
         }
         let is_new = new_incarnation && (local || heartbeat.sequence <= MAX_STARTUP_SEQUENCE);
@@ -245,9 +265,38 @@
             reply.wanted = unknown;
             actions.push(RosterAction::Send(heartbeat.ip, Box::new(reply)));
         }
+        // The contacts go first, so that the receiver's own reply can pass them on.
+        actions.extend(offer);
         actions
     }
 
+    /// Learns from the form of a heartbeat which messages its sender reads. Offers an extended
+    /// heartbeat to a sender of which that isn't known, and answers such an offer with one.
+    fn shake_hands(
+        &mut self,
+        now: Time,
+        heartbeat: &Heartbeat,
+        format: Format,
+        own: &OwnState,
+    ) -> Option<RosterAction> {
+        let member = self.members.get_mut(&heartbeat.name)?;
+        let offers = match (member.format, format) {
+            (Format::Extended, _) => false,
+            (Format::Legacy, Format::Extended) => {
+                member.format = Format::Extended;
+                !member.handshake.has_begun()
+            }
+            (Format::Legacy, Format::Legacy) => member.handshake.take_offer(now),
+        };
+        if !offers {
+            return None;
+        }
+        // It doesn't count in the sequence: the first heartbeats after a start are answered with
+        // contacts, and many offers would use up their numbers.
+        let reply = Box::new(self.heartbeat(now, own));
+        Some(RosterAction::Offer(heartbeat.ip, reply))
+    }
+
     /// Updates the member that sent a heartbeat. Returns whether its incarnation is a new one, or
     /// `None` if the heartbeat is outdated.
     fn update_sender(&mut self, now: Time, heartbeat: &Heartbeat) -> Option<bool> {
@@ -259,10 +308,10 @@
         if !new_incarnation && heartbeat.sequence + REORDER_WINDOW < member.sequence {
             return None;
         }
-        let (previous, format) = if new_incarnation {
-            (0, Format::Legacy)
+        let (previous, format, handshake) = if new_incarnation {
+            (0, Format::Legacy, Handshake::default())
         } else {
-            (member.sequence, member.format)
+            (member.sequence, member.format, member.handshake)
         };
         *member = Member {
             staleness: Some((heartbeat.staleness, now)),
@@ -271,6 +320,7 @@
             sequence: heartbeat.sequence.max(previous),
             last_heard: Some(now),
             format,
+            handshake,
             ip: heartbeat.ip,
             incarnation: heartbeat.incarnation,
             revs: heartbeat.revs,
@@ -332,6 +382,7 @@
         added: now,
         last_heard: None,
         format: Format::Legacy,
+        handshake: Handshake::default(),
         ip,
         incarnation: 0,
         revs: Revs::default(),
--- a/crates/peer/tests/fleet/harness.rs
+++ b/crates/peer/tests/fleet/harness.rs
@@ -3,7 +3,8 @@
 use {
     fastrand::Rng,
     peer::{
-        HEARTBEAT_PERIOD, MAX_CRASHES, News, OwnState, Roster, RosterAction, Stage, Watch, encode,
+        Datagram, Format, HEARTBEAT_PERIOD, MAX_CRASHES, News, OwnState, Roster, RosterAction,
+        Stage, Watch,
     },
     poison::CrashLog,
     site::Revs,
@@ -21,7 +22,11 @@
     /// Addresses from which its roster asked to fetch site changes.
     pub(crate) fetched: Vec<Ipv4Addr>,
     pub(crate) ip: Ipv4Addr,
+    /// Whether it is of a build that reads only legacy messages.
+    pub(crate) legacy: bool,
     pub(crate) own: OwnState,
+    /// The extended datagrams that it couldn't read.
+    pub(crate) refused: usize,
     pub(crate) roster: Roster,
 }
 
@@ -63,11 +68,13 @@
             crash_log: CrashLog::default(),
             fetched: Vec::new(),
             ip: ip(index),
+            legacy: false,
             own: OwnState {
                 revs: Revs::default(),
                 stage: Stage::Ready,
                 watch: Watch::Off,
             },
+            refused: 0,
             roster: Roster::new(
                 name(index),
                 format!("centre-{}", index % centres).as_str().into(),
@@ -137,8 +144,18 @@
     /// Performs the actions of one daemon, and the actions of those that receive its heartbeats.
     fn perform(&mut self, from: usize, actions: Vec<RosterAction>) {
         for action in actions {
-            let (to, heartbeat) = match action {
-                RosterAction::Send(to, heartbeat) => (to, heartbeat),
+            let (to, format, heartbeat) = match action {
+                // A legacy build knows no offers, and its roster makes no difference between forms.
+                RosterAction::Offer(..) if self.nodes[from].legacy => continue,
+                RosterAction::Offer(to, heartbeat) => (to, Format::Extended, heartbeat),
+                RosterAction::Send(to, heartbeat) if self.nodes[from].legacy => {
+                    (to, Format::Legacy, heartbeat)
+                }
+                RosterAction::Send(to, heartbeat) => (
+                    to,
+                    self.nodes[from].roster.format_of(self.now, to),
+                    heartbeat,
+                ),
                 RosterAction::Fetch(other) => {
                     self.nodes[from].fetched.push(other);
                     continue;
@@ -151,16 +168,21 @@
             if !self.nodes[to].alive || cut || self.rng.f64() < self.loss {
                 continue;
             }
-            let bytes = encode(&heartbeat).map_or(0, |bytes| bytes.len());
+            let bytes = Datagram::encode_heartbeat(format, &heartbeat, &[]);
+            let bytes = bytes.map_or(0, |bytes| bytes.len());
             self.nodes[from].bytes += bytes;
             let node = &mut self.nodes[to];
             node.bytes += bytes;
+            if node.legacy && format == Format::Extended {
+                node.refused += 1;
+                continue;
+            }
             for news in heartbeat.news.iter().flat_map(|news| &news.crashes) {
                 node.crash_log.adopt(self.now, *news);
             }
             let actions = node
                 .roster
-                .handle_heartbeat(self.now, &heartbeat, &node.own);
+                .handle_heartbeat(self.now, &heartbeat, format, &node.own);
             self.perform(to, actions);
         }
     }
--- a/crates/peer/tests/fleet/main.rs
+++ b/crates/peer/tests/fleet/main.rs
@@ -6,8 +6,10 @@
     reason = "a test fails by panicking"
 )]
 
+mod builds;
 mod crashes;
 mod harness;
+mod legacy;
 mod messages;
 mod roster;
 mod scale;
--- a/crates/peer/tests/fleet/messages.rs
+++ b/crates/peer/tests/fleet/messages.rs
@@ -3,12 +3,13 @@
 use {
     crate::harness::{ip, name},
     peer::{
-        CoarseAge, Datagram, FetchRequest, Format, FrameCodec, GossipEntry, Heartbeat, LimitEntry,
-        News, PeerRequest, Section, SectionTag, Stage, Watch, decode, encode,
+        ChangeSection, CoarseAge, Datagram, FetchRequest, Format, FrameCodec, GossipEntry,
+        Heartbeat, LimitEntry, News, PeerRequest, Section, SectionTag, Stage, Watch, decode,
+        encode,
     },
     poison::{CrashNews, Fingerprint},
     quickcheck::quickcheck,
-    site::Revs,
+    site::{Change, Departure, Era, Rev, Revs, Topic},
     unit::{Rate, Span},
 };
 
@@ -158,3 +159,48 @@
         watch: Watch::Off,
     }
 }
+
+/// Guards against a truncated datagram that counts as one of a later build.
+#[test]
+fn a_truncated_extended_datagram_is_an_error() {
+    for bytes in [&[0xFF][..], &[0xFF, 1], &[0xFF, 2], &[0xFF, 1, 0]] {
+        assert!(Datagram::decode(bytes).is_err(), "{bytes:?}");
+    }
+}
+
+/// Guards against a legacy heartbeat that changes as topics are added, and against revisions of
+/// later topics that don't arrive.
+#[test]
+fn revisions_of_a_section_become_part_of_the_heartbeat_and_unknown_topics_are_skipped() {
+    let known = Rev::new(Era(1), 9);
+    let section = Section::new(SectionTag::Revs, &vec![(1_u8, known), (200, known)]);
+    let section = section.expect("encodable");
+    let bytes = Datagram::encode_heartbeat(Format::Extended, &heartbeat(), &[section]);
+    let Ok(Datagram::Heartbeat { heartbeat, .. }) = Datagram::decode(&bytes.expect("encodable"))
+    else {
+        panic!("not a heartbeat");
+    };
+    let mut expected = Revs::default();
+    expected.raise(Topic::Config, known);
+    assert_eq!(heartbeat.revs, expected);
+}
+
+/// Guards against a reply to a fetch that a build without one of its topics refuses.
+#[test]
+fn changes_of_known_topics_arrive_and_those_of_unknown_topics_are_skipped() {
+    let change = Change {
+        absent_departure: Departure::Left,
+        full: false,
+        items: Vec::new(),
+        rev: Rev::new(Era(1), 9),
+        topic: Topic::Workers,
+    };
+    let section = ChangeSection::new(&change).expect("encodable");
+    assert_eq!(section.change().expect("valid"), Some(change));
+    let unknown: ChangeSection =
+        decode(&encode(&(vec![7_u8], 200_u8)).expect("encodable")).expect("a section");
+    assert_eq!(unknown.change().expect("skipped"), None);
+    let broken: ChangeSection =
+        decode(&encode(&(vec![7_u8], 3_u8)).expect("encodable")).expect("a section");
+    assert!(broken.change().is_err());
+}
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -9,6 +9,7 @@
 mod departure;
 mod health_report;
 mod key_digest;
+mod legacy;
 mod notice;
 mod revs;
 mod route;
@@ -26,6 +27,7 @@
     departure::{DepartedWorker, Departure},
     health_report::{HealthReport, LoadReport},
     key_digest::KeyDigest,
+    legacy::{LegacyChange, LegacyRevs},
     notice::Notice,
     revs::{Era, Rev, Revs},
     route::{Route, Target},
--- a/crates/site/src/revs.rs
+++ b/crates/site/src/revs.rs
@@ -1,7 +1,7 @@
 //! Places in the history of the platform's store.
 
 use {
-    crate::Topic,
+    crate::{LegacyRevs, Topic},
     derive_more::Display,
     serde::{Deserialize, Serialize},
 };
@@ -35,7 +35,10 @@
 }
 
 /// The revisions up to which the topics are known without gaps.
+///
+/// Serialization covers only the topics that all builds follow, in the form that all builds read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "LegacyRevs", into = "LegacyRevs")]
 pub struct Revs {
     /// The revision of the configuration.
     pub config: Rev,
--- a/crates/standin/src/fuzz/target.rs
+++ b/crates/standin/src/fuzz/target.rs
@@ -8,8 +8,8 @@
     fastrand::Rng,
     forward::{ForwardReply, ForwardRequest},
     peer::{
-        CoarseAge, FetchRequest, FrameCodec, GossipEntry, Heartbeat, LimitEntry, News, PeerRequest,
-        Roster, Stage,
+        ChangeSection, CoarseAge, Datagram, FetchRequest, Format, FrameCodec, GossipEntry,
+        Heartbeat, LimitEntry, News, PeerRequest, Roster, Stage, TopicRevs,
     },
     pick::{LimitNews, WorkerTable},
     platform::{
@@ -72,7 +72,7 @@
                 Span::secs(2),
             ))],
             Self::Fetch => vec![
-                frame(&vec![change()]),
+                frame(&Vec::from_iter(ChangeSection::new(&change()))),
                 frame(&PeerRequest::Forward(ForwardRequest {
                     attempts: 2,
                     config: 7,
@@ -82,8 +82,14 @@
                 frame(&PeerRequest::Fetch(FetchRequest {
                     revs: Revs::default(),
                 })),
+                frame(&PeerRequest::FetchExtended(
+                    TopicRevs::new(&Revs::default()),
+                )),
             ],
-            Self::Heartbeat => vec![peer::encode(&heartbeat()).unwrap_or_default()],
+            Self::Heartbeat => [Format::Legacy, Format::Extended]
+                .map(|format| Datagram::encode_heartbeat(format, &heartbeat(), &[]))
+                .map(Result::unwrap_or_default)
+                .to_vec(),
             Self::Request => requests(),
             Self::Response => vec![
                 encoded(&worker_response(200)),
@@ -277,8 +283,9 @@
         codec.push(part);
         drop(codec.decode::<PeerRequest>());
         drop(codec.decode::<ForwardReply>());
-        if let Ok(Some(changes)) = codec.decode::<Vec<Change>>() {
-            apply(&mut view, changes);
+        if let Ok(Some(sections)) = codec.decode::<Vec<ChangeSection>>() {
+            let changes = sections.iter().filter_map(|section| section.change().ok()?);
+            apply(&mut view, changes.collect());
         }
     }
 }
@@ -297,7 +304,10 @@
 }
 
 fn run_heartbeat(input: &[u8]) {
-    let Ok(heartbeat) = peer::decode::<Heartbeat>(input) else {
+    let Ok(Datagram::Heartbeat {
+        format, heartbeat, ..
+    }) = Datagram::decode(input)
+    else {
         return;
     };
     let rng = Rng::with_seed(1);
@@ -309,7 +319,7 @@
         watch: peer::Watch::Live,
     };
     for _ in 0..2 {
-        drop(roster.handle_heartbeat(now(), &heartbeat, &own));
+        drop(roster.handle_heartbeat(now(), &heartbeat, format, &own));
     }
     drop(roster.tick(now() + Span::secs(1), &own));
     let mut table = WorkerTable::new("d-0".into(), "a".into());
