--- a/crates/call/src/forwarding.rs
+++ b/crates/call/src/forwarding.rs
@@ -81,9 +81,7 @@
             return false;
         };
         let left = call.deadline.since(now);
-        // No helper is known to read the account's name yet.
         let allowed = !call.from_peer
-            && call.account.is_none()
             && call.forward.is_none()
             && call.asked.len() < MAX_HELPERS
             && call.may_send()
@@ -94,9 +92,13 @@
         let (service, selection) = (call.service.clone(), call.selection);
         let (repeat, first) = (call.sends > 0, call.asked.is_empty());
         let attempts = call.max_attempts - call.sends;
-        let helper = self
-            .helpers
-            .choose(now, &service, &call.asked, &mut self.rng);
+        let helper = self.helpers.choose(
+            now,
+            &service,
+            &call.asked,
+            call.account.is_some(),
+            &mut self.rng,
+        );
         let Some(helper) = helper else {
             return false;
         };
--- a/crates/daemon/src/forwards.rs
+++ b/crates/daemon/src/forwards.rs
@@ -4,7 +4,7 @@
     crate::{conn::ConnKind, constants::MAX_RESPONSE_BYTES, daemon::Daemon, workers::LinkState},
     call::{CallError, CallEvent, CallId, ForwardEnding, ForwardOrder, LinkId, keeps_whole},
     forward::{ForwardExtended, ForwardReply, ForwardRequest},
-    peer::{FrameCodec, PeerRequest},
+    peer::{Format, FrameCodec, PeerRequest},
     platform::{encode_passed_on, read_response_head},
     site::Notice,
     unit::{Name, Span, Time},
@@ -72,11 +72,16 @@
             config: self.config.as_ref()?.version,
             service: self.dispatcher.service_of(call)?.clone(),
         };
-        let head = match active.account.clone() {
-            None => PeerRequest::Forward(request),
-            account => PeerRequest::ForwardExtended(ForwardExtended { account, request }),
-        };
         let has_accounts = self.dispatcher.accounts().is_enabled();
+        let account = active.account.clone();
+        let head = match (self.roster.format_of(now, helper), account) {
+            (Format::Extended, account) => {
+                PeerRequest::ForwardExtended(ForwardExtended { account, request })
+            }
+            (Format::Legacy, None) => PeerRequest::Forward(request),
+            // The helper was restarted with another build since it was chosen.
+            (Format::Legacy, Some(_)) => return None,
+        };
         let mut bytes = FrameCodec::encode(&head).ok()?;
         bytes.extend(encode_passed_on(&active.request, has_accounts, time_left));
         let kind = ConnKind::Forward(ForwardConn {
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -14,6 +14,7 @@
 mod health_report;
 mod key_digest;
 mod key_error;
+mod legacy;
 mod notice;
 mod revs;
 mod route;
@@ -36,6 +37,7 @@
     health_report::{HealthReport, LoadReport},
     key_digest::KeyDigest,
     key_error::KeyError,
+    legacy::{LegacyChange, LegacyRevs},
     notice::Notice,
     revs::{Era, Rev, Revs},
     route::{Route, Target},
