Outlier ejection: workers that reject requests while their probes succeed

Cause: two of five workers rejected everything for 8.5 s while their health probes succeeded and their load reports showed free slots; each of them kept getting its part of the requests. Rejections that the load doesn't explain are counted in a row for each worker. From two on it ranks behind the others, from four on it is left out between trials by one request at a time, never more than half of a service. Daemons tell each other in the heartbeat section Rejecting, in place of a part of the limits.

--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -118,6 +118,7 @@
         }
         self.table
             .record_outcome(attempt.worker, now, outcome, attempt.expected);
+        self.update_rejections(now, attempt, &report);
         if let Some(load) = report.load {
             self.table.record_load(attempt.worker, now, load);
         }
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -6,6 +6,7 @@
         crashes::{Check, Suspicion, WorkerCrash},
         forwarding::Trial,
         reaching::ReachChange,
+        rejections::RejectionChange,
         split::Split,
     },
     fastrand::Rng,
@@ -60,6 +61,8 @@
     pub(crate) new_crashes: Vec<WorkerCrash>,
     /// The changes that [`Self::take_notice_changes`] has not yet returned.
     pub(crate) notice_changes: Vec<NoticeChange>,
+    /// The changes that [`Self::take_rejection_changes`] has not yet returned.
+    pub(crate) rejection_changes: Vec<RejectionChange>,
     /// When each request is to be looked at again. Entries are not removed when they become
     /// obsolete.
     pub(crate) timers: BinaryHeap<Reverse<(Time, CallId)>>,
@@ -93,6 +96,7 @@
             table,
             new_crashes: Vec::new(),
             notice_changes: Vec::new(),
+            rejection_changes: Vec::new(),
             timers: BinaryHeap::new(),
             trials: Map::default(),
             latency_estimates: Map::default(),
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -21,6 +21,7 @@
 mod notice_change;
 mod policy;
 mod reaching;
+mod rejections;
 mod relay;
 mod selection;
 mod sending;
@@ -39,6 +40,7 @@
     notice_change::NoticeChange,
     policy::Policy,
     reaching::ReachChange,
+    rejections::RejectionChange,
     relay::{Relay, RelayFailure, keeps_whole},
     startup_hold::StartupHold,
 };
--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -58,9 +58,9 @@
         };
         let mut any_passed_over = false;
         for selected in self.table.rank(now, &criteria, &mut self.rng) {
-            // Workers that failed lately or are leaving are probed only if there is no candidate
-            // yet.
-            if has_candidate && selected.standing >= Standing::Suspect {
+            // Workers that failed lately, reject requests or are leaving are probed only if there is
+            // no candidate yet.
+            if has_candidate && (selected.demoted || selected.standing >= Standing::Suspect) {
                 self.conclude_selection(now, id);
                 return;
             }
--- a/crates/call/tests/simulation/main.rs
+++ b/crates/call/tests/simulation/main.rs
@@ -10,6 +10,7 @@
 mod limit_rule;
 mod limits;
 mod loads;
+mod rejections;
 mod report;
 mod scenario;
 mod sim_daemon;
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -25,6 +25,7 @@
 /// How many others a daemon tells each time, and of how many workers at the most.
 const GOSSIP_FANOUT: usize = 6;
 const MAX_LIMITS: usize = 6;
+const MAX_REJECTIONS: usize = 9;
 /// When a simulation begins.
 const START: Span = Span::secs(100);
 /// The interval, in steps, at which it is drawn anew which workers are slow.
@@ -48,6 +49,8 @@
     messages: BTreeMap<Time, Vec<Message>>,
     next_call: u64,
     now: Time,
+    /// Requests that arrived at workers which turn all away.
+    pub(crate) rejected: usize,
     /// Attempts beyond the first of each request: retries and hedges.
     repeats: usize,
     /// Requests that the daemons received from callers.
@@ -57,7 +60,7 @@
     routes: Vec<Arc<Route>>,
     /// How many times each request of each daemon was sent to a worker.
     sends: Map<(usize, CallId), u32>,
-    scenario: Scenario,
+    pub(crate) scenario: Scenario,
 }
 
 impl Simulation {
@@ -80,6 +83,7 @@
             messages: BTreeMap::new(),
             next_call: 0,
             now,
+            rejected: 0,
             repeats: 0,
             requests: 0,
             reports: vec![Report::default(); scenario.workloads.len()],
@@ -119,6 +123,11 @@
         assert!(self.repeats as f64 <= limit, "{} repeats", self.repeats);
     }
 
+    /// Begins to count anew.
+    pub(crate) fn clear_reports(&mut self) {
+        self.reports.fill(Report::default());
+    }
+
     pub(crate) fn reports(&self) -> &[Report] {
         &self.reports
     }
@@ -174,15 +183,20 @@
         }
     }
 
-    /// Has a daemon tell others what workers told it of their limits.
+    /// Has a daemon tell others what workers told it of their limits, and which reject requests.
     fn gossip(&mut self, daemon_index: usize) {
         let dispatcher = &mut self.daemons[daemon_index].dispatcher;
         let news = dispatcher.limit_news(self.now, MAX_LIMITS);
+        let rejections = dispatcher.rejection_news(self.now, MAX_REJECTIONS);
         for _ in 0..GOSSIP_FANOUT {
             let other = self.rng.usize(..self.daemons.len());
             for news in &news {
                 self.daemons[other].dispatcher.adopt_limit(self.now, *news);
             }
+            for news in &rejections {
+                let dispatcher = &mut self.daemons[other].dispatcher;
+                dispatcher.adopt_rejection(self.now, *news);
+            }
         }
     }
 
@@ -261,8 +275,9 @@
 
     /// Lets a request arrive at a worker, which may refuse it.
     fn arrive(&mut self, worker: usize, job: Job) {
-        let refuses =
-            self.rng.f64() < self.scenario.refuse_fraction || self.scenario.turns_away(worker);
+        let turns_away = self.scenario.turns_away(worker);
+        self.rejected += usize::from(turns_away);
+        let refuses = self.rng.f64() < self.scenario.refuse_fraction || turns_away;
         let worker = &mut self.workers[worker];
         worker.arrivals.push((self.now, job.daemon));
         if refuses || !worker.arrive(job) {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -25,7 +25,7 @@
         errno::Errno,
         sys::socket::{setsockopt, sockopt::IpBindAddressNoPort},
     },
-    peer::{HEARTBEAT_PERIOD, Roster, Stage},
+    peer::{HEARTBEAT_PERIOD, Roster, Section, Stage},
     pick::{WorkerKey, WorkerTable},
     serde_json::{Value, json},
     site::{Config, View},
@@ -79,6 +79,8 @@
     pub(crate) metrics: Metrics,
     /// When the next heartbeats to other daemons are due.
     pub(crate) next_heartbeat: Time,
+    /// The sections of the regular heartbeats that are being sent.
+    pub(crate) sections: Vec<Section>,
     /// The ticks of regular heartbeats since the start.
     pub(crate) ticks: u64,
     /// The number of the next request.
@@ -169,6 +171,7 @@
             log: Log::start(settings.name.clone()),
             metrics: Metrics::new(),
             next_heartbeat: now,
+            sections: Vec::new(),
             ticks: 0,
             next_call: 0,
             next_serial: 0,
@@ -336,6 +339,7 @@
             let actions = self.dispatcher.handle(now, event);
             self.log_decisions(now);
             self.log_notice_changes(now);
+            self.log_rejection_changes(now);
             self.log_crashes(now);
             self.log_reach_changes(now);
             for action in actions {
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -104,6 +104,7 @@
         "leaving": record.said_leaving(),
         "load": load,
         "retry_ms": record.retry_left(now).as_millis(),
+        "rejections": record.rejections(),
         "limit": record.rate_limit().map(Rate::as_per_second),
     })
 }
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -47,6 +47,8 @@
     309 REQUEST_BARRED "request-barred";
     310 WORKERS_UNREACHED "workers-unreached";
     311 WORKERS_REACHED "workers-reached";
+    312 WORKER_REJECTING "worker-rejecting";
+    313 WORKER_ACCEPTING "worker-accepting";
     400 SENT "sent";
     401 ANSWERED "answered";
     402 PASSED "passed";
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -28,6 +28,8 @@
     pub(crate) connections: IntCounter,
     /// Requests that were in flight at workers that crashed.
     pub(crate) crashes: IntCounter,
+    /// Times that a worker was left out for its rejections, by how this daemon learned of them.
+    ejections: IntCounterVec,
     /// Entries of workers and daemons that were looked at to select workers.
     pub(crate) examined: IntCounter,
     /// The time from reading a request to delivering its response, in seconds.
@@ -95,6 +97,12 @@
                 "crashes_total",
                 "Requests in flight at workers that crashed",
             ),
+            ejections: counter_vec(
+                &registry,
+                "ejections_total",
+                "Times that a worker was left out because it rejects requests",
+                "source",
+            ),
             examined: counter(
                 &registry,
                 "examined_total",
@@ -162,6 +170,11 @@
             .inc();
     }
 
+    /// Counts a worker that is left out for its rejections from now on.
+    pub(crate) fn count_ejection(&self, source: &str) {
+        self.ejections.with_label_values(&[source]).inc();
+    }
+
     /// Counts a request that matched a route of this kind.
     pub(crate) fn count_routed(&self, kind: &RouteKind) {
         self.routed.with_label_values(&[kind.name()]).inc();
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -4,9 +4,10 @@
     crate::{daemon::Daemon, log_event},
     peer::{
         CoarseAge, Datagram, Format, Heartbeat, LIMITS_ONE_IN, LimitEntry, MAX_CRASHES, MAX_LIMITS,
-        MAX_UNREACHED, News, OwnState, RosterAction, Stage, Watch,
+        MAX_REJECTING, MAX_REJECTING_BESIDE, MAX_UNREACHED, News, OwnState, RejectingEntry,
+        RosterAction, Section, SectionTag, Stage, Watch,
     },
-    pick::LimitNews,
+    pick::{LimitNews, RejectionNews},
     poison::CrashNews,
     serde_json::json,
     site::Rev,
@@ -50,6 +51,8 @@
         self.ticks += 1;
         self.add_news(now, &mut actions);
         self.run_roster_actions(now, actions);
+        // Only regular heartbeats have sections; replies and announcements have none.
+        self.sections.clear();
         self.update_store_role(now);
         self.log_peer_changes(now);
         if self.roster.is_isolated(now) {
@@ -63,7 +66,10 @@
 
     /// Adds what this daemon learned of workers to the heartbeats of a tick.
     fn add_news(&mut self, now: Time, actions: &mut [RosterAction]) {
-        let limits = self.limit_entries(now);
+        let mut limits = self.limit_entries(now);
+        if let Some(section) = self.rejecting_section(now, &mut limits) {
+            self.sections.push(section);
+        }
         let bars = self.bar_news(now);
         for action in actions {
             if let RosterAction::Send(_, heartbeat) = action {
@@ -94,6 +100,60 @@
         news.iter().map(entry).collect()
     }
 
+    /// What this daemon knows of workers that reject requests, for the heartbeats that may name
+    /// limits; `None` if there is nothing to tell. Leaves out limits for which no bytes are left.
+    fn rejecting_section(&mut self, now: Time, limits: &mut Vec<LimitEntry>) -> Option<Section> {
+        if !self.ticks.is_multiple_of(LIMITS_ONE_IN) {
+            return None;
+        }
+        let max = if limits.is_empty() {
+            MAX_REJECTING
+        } else {
+            MAX_REJECTING_BESIDE
+        };
+        let news = self.dispatcher.rejection_news(now, max);
+        if news.is_empty() {
+            return None;
+        }
+        limits.truncate(MAX_LIMITS / 2);
+        let entry = |news: &RejectionNews| RejectingEntry {
+            age: CoarseAge::new(news.age),
+            run: news.run,
+            streak: news.streak,
+        };
+        let entries: Vec<RejectingEntry> = news.iter().map(entry).collect();
+        Section::new(SectionTag::Rejecting, &entries).ok()
+    }
+
+    /// Adopts what another daemon knows of workers that reject requests.
+    fn adopt_rejecting(&mut self, now: Time, entries: &[RejectingEntry]) {
+        for entry in entries.iter().take(MAX_REJECTING) {
+            let news = RejectionNews {
+                age: entry.age.span(),
+                run: entry.run,
+                streak: entry.streak,
+            };
+            self.dispatcher.adopt_rejection(now, news);
+        }
+        self.log_rejection_changes(now);
+    }
+
+    /// Adopts the sections of a heartbeat. One that can't be decoded is skipped with an event.
+    fn adopt_sections(&mut self, now: Time, sections: &[Section], from: SocketAddr) {
+        for section in sections {
+            if !section.has_tag(SectionTag::Rejecting) {
+                continue;
+            }
+            match section.content::<Vec<RejectingEntry>>() {
+                Ok(entries) => self.adopt_rejecting(now, &entries),
+                Err(error) => {
+                    let fields = json!({"peer": from.to_string(), "reason": error.to_string()});
+                    self.log_event(now, log_event::PEER_MESSAGE_REFUSED, fields);
+                }
+            }
+        }
+    }
+
     /// Once a second, what bars a request that crashes workers, for daemons that have just started.
     fn bar_news(&self, now: Time) -> Vec<CrashNews> {
         if !self.ticks.is_multiple_of(LIMITS_ONE_IN) {
@@ -194,7 +254,7 @@
 
     fn send_heartbeat(&mut self, now: Time, ip: Ipv4Addr, heartbeat: &Heartbeat) {
         let format = self.roster.format_of(ip);
-        let bytes = match Datagram::encode_heartbeat(format, heartbeat, &[]) {
+        let bytes = match Datagram::encode_heartbeat(format, heartbeat, &self.sections) {
             Ok(bytes) => bytes,
             Err(error) => {
                 let fields = json!({"reason": error.to_string()});
@@ -209,10 +269,12 @@
     }
 
     fn handle_heartbeat_datagram(&mut self, now: Time, bytes: &[u8], from: SocketAddr) {
-        let (format, heartbeat) = match Datagram::decode(bytes) {
+        let (format, heartbeat, sections) = match Datagram::decode(bytes) {
             Ok(Datagram::Heartbeat {
-                format, heartbeat, ..
-            }) => (format, heartbeat),
+                format,
+                heartbeat,
+                sections,
+            }) => (format, heartbeat, sections),
             Ok(Datagram::Quota(_) | Datagram::Unknown) => return,
             Err(error) => {
                 let fields = json!({"peer": from.to_string(), "reason": error.to_string()});
@@ -240,6 +302,7 @@
             .record_report(now, heartbeat.ip, &news.unreached);
         self.adopt_limits(now, &news.limits);
         self.adopt_crashes(now, &news.crashes);
+        self.adopt_sections(now, &sections, from);
     }
 
     /// Logs which daemons came alive and which are no longer alive.
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -136,6 +136,29 @@
         }
     }
 
+    /// Logs and counts the workers that are left out for their rejections, and those that aren't any
+    /// more.
+    pub(crate) fn log_rejection_changes(&mut self, now: Time) {
+        for change in self.dispatcher.take_rejection_changes() {
+            let Some(record) = self.dispatcher.table.get(change.worker) else {
+                continue;
+            };
+            let source = change.source.to_string();
+            let event = if change.left_out {
+                self.metrics.count_ejection(&source);
+                log_event::WORKER_REJECTING
+            } else {
+                log_event::WORKER_ACCEPTING
+            };
+            let fields = json!({
+                "worker": record.worker.id,
+                "service": record.worker.service,
+                "source": source,
+            });
+            self.log_event(now, event, fields);
+        }
+    }
+
     /// Logs and counts the crashes of workers that became known.
     pub(crate) fn log_crashes(&mut self, now: Time) {
         for crash in self.dispatcher.take_crashes() {
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -14,6 +14,12 @@
 /// The regular heartbeats of one tick in this many name limits, which is once a second.
 pub const LIMITS_ONE_IN: u64 = 5;
 
+/// Heartbeats name at most this many workers that reject requests; at most [`MAX_REJECTING_BESIDE`],
+/// and half of the limits, if they name limits, too. So they need no more bytes than limits alone.
+pub const MAX_REJECTING: usize = 9;
+/// See [`MAX_REJECTING`].
+pub const MAX_REJECTING_BESIDE: usize = 4;
+
 /// Heartbeats hold at most this many pieces of news of requests that crash workers.
 pub const MAX_CRASHES: usize = 8;
 
@@ -42,6 +48,18 @@
     pub run: u32,
 }
 
+/// What the sender of a heartbeat knows of a worker that rejects requests although its load reports
+/// show room, or does so no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RejectingEntry {
+    /// The time since the request ended that showed it.
+    pub age: CoarseAge,
+    /// The hash of the worker's process run.
+    pub run: u32,
+    /// The number of rejections in a row; 0 if the worker accepts requests again.
+    pub streak: u8,
+}
+
 /// What a daemon tells others of workers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct News {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,7 +24,7 @@
     fetch::{FetchRequest, FrameCodec, PeerRequest},
     heartbeat::{
         Contact, GossipEntry, Heartbeat, LIMITS_ONE_IN, LimitEntry, MAX_CRASHES, MAX_LIMITS,
-        MAX_UNREACHED, News,
+        MAX_REJECTING, MAX_REJECTING_BESIDE, MAX_UNREACHED, News, RejectingEntry,
     },
     member::Member,
     roster::{HEARTBEAT_PERIOD, OwnState, Roster, RosterAction},
--- a/crates/peer/tests/fleet/scale.rs
+++ b/crates/peer/tests/fleet/scale.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::harness::Fleet,
-    peer::{CoarseAge, LimitEntry, MAX_LIMITS, encode},
+    peer::{
+        CoarseAge, LimitEntry, MAX_LIMITS, MAX_REJECTING, MAX_REJECTING_BESIDE, RejectingEntry,
+        encode,
+    },
     unit::{Rate, Span},
 };
 
@@ -31,13 +34,39 @@
 /// as many as it sends: five within its data centre and one to another, in one tick a second.
 fn limit_traffic() -> usize {
     const HEARTBEATS: usize = 6;
+    2 * HEARTBEATS * limit_bytes(MAX_LIMITS)
+}
+
+/// The size of the limits of `count` workers in a heartbeat, in bytes.
+fn limit_bytes(count: usize) -> usize {
     let entry = LimitEntry {
         age: CoarseAge::new(Span::secs(10)),
         rate: Rate::per_second(1_000.0),
         run: u32::MAX,
     };
-    let bytes = encode(&vec![entry; MAX_LIMITS]).expect("a small message");
-    2 * HEARTBEATS * bytes.len()
+    let bytes = encode(&vec![entry; count]).expect("a small message");
+    bytes.len()
+}
+
+/// The size of `count` rejecting workers in a heartbeat, in bytes.
+fn rejecting_bytes(count: usize) -> usize {
+    let entry = RejectingEntry {
+        age: CoarseAge::new(Span::secs(10)),
+        run: u32::MAX,
+        streak: u8::MAX,
+    };
+    let bytes = encode(&vec![entry; count]).expect("a small message");
+    bytes.len()
+}
+
+/// Guards the budget for heartbeats: workers that reject requests are named in place of limits.
+#[test]
+fn rejecting_workers_need_no_more_bytes_than_limits() {
+    let most = limit_bytes(MAX_LIMITS);
+    let alone = rejecting_bytes(MAX_REJECTING);
+    let beside = limit_bytes(MAX_LIMITS / 2) + rejecting_bytes(MAX_REJECTING_BESIDE);
+    assert!(alone <= most, "{alone} bytes of {most}");
+    assert!(beside <= most, "{beside} bytes of {most}");
 }
 
 #[test]
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -6,6 +6,7 @@
 mod latency_estimate;
 mod median_estimate;
 mod named_limit;
+mod rejection;
 mod selection;
 mod worker_key;
 mod worker_record;
@@ -16,6 +17,7 @@
     latency_estimate::LatencyEstimate,
     median_estimate::MedianEstimate,
     named_limit::{LimitNews, NoticeSource},
+    rejection::{RejectionNews, RejectionSource},
     selection::{Criteria, Ranking, Selection},
     worker_key::WorkerKey,
     worker_record::{Standing, WorkerRecord},
--- a/crates/pick/src/selection.rs
+++ b/crates/pick/src/selection.rs
@@ -33,6 +33,8 @@
 /// A selected worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Selection {
+    /// Whether it rejected requests lately although its load showed a free slot.
+    pub demoted: bool,
     /// The worker.
     pub key: WorkerKey,
     /// Whether it is in this daemon's own data centre.
@@ -85,8 +87,9 @@
 
 impl WorkerTable {
     /// Ranks the workers for a request. Workers of the own data centre rank first, those that
-    /// were just found slow or full later, those that failed recently or leave last; workers of
-    /// equal rank are compared by cost. Workers that may not get a request now are left out.
+    /// were just found slow or full later, those that reject requests after these, those that failed
+    /// recently or leave last; workers of equal rank are compared by cost. Workers that may not get a
+    /// request now are left out.
     ///
     /// This looks at every worker of the service, so a request that passes over some goes on in
     /// the same ranking.
@@ -107,23 +110,28 @@
         let any_usable = open
             .iter()
             .any(|(_, standing, _)| *standing == Standing::Usable);
+        let any_demoted = open.iter().any(|(_, _, record)| record.is_demoted(now));
+        let may_leave_out = any_demoted && self.may_leave_out(criteria.service, now);
         let ranked = open.into_iter().filter_map(|(key, standing, record)| {
             // While other workers can be reached, a probe of one in backoff would be wasted.
             let skipped = criteria.excluded.contains(&key)
                 || (any_usable && record.in_backoff(now))
+                || (may_leave_out && record.is_left_out(now))
                 || (criteria.skip_busy && record.busy_within(now, BUSY_EXCLUSION));
             if skipped {
                 return None;
             }
             let local = record.worker.centre == self.centre;
+            let demoted = record.is_demoted(now);
             Some(RankedWorker {
                 cost: cost(record, now, rng),
                 selection: Selection {
+                    demoted,
                     key,
                     local,
                     standing,
                 },
-                tier: tier(record, standing, local, explore, now),
+                tier: tier(record, standing, local, explore && !demoted, now),
             })
         });
         Ranking(ranked.collect())
@@ -146,12 +154,13 @@
 fn tier(record: &WorkerRecord, standing: Standing, local: bool, explore: bool, now: Time) -> u32 {
     match standing {
         Standing::Usable if explore && !record.used => 0,
+        Standing::Usable if record.is_demoted(now) => 5,
         Standing::Usable => {
             let busy = record.busy_within(now, BUSY_DEMOTION);
             1 + u32::from(!local) + 2 * u32::from(busy)
         }
-        Standing::Suspect => 5,
-        Standing::Leaving => 6,
-        Standing::Barred => 7,
+        Standing::Suspect => 6,
+        Standing::Leaving => 7,
+        Standing::Barred => 8,
     }
 }
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         LatencyEstimate, LimitNews, NoticeSource, latency_estimate::SLOW_PERCENT,
-        named_limit::NamedLimit,
+        named_limit::NamedLimit, rejection::Rejection,
     },
     limit::{ColdStartBudget, Placement, ProbeBudget, RequestBudget},
     site::{HealthReport, LoadReport, Notice, Worker, WorkerState},
@@ -79,6 +79,8 @@
     pub(crate) probe_budget: ProbeBudget,
     /// The requests that this daemon sends it, within its share of the limit that it names.
     pub(crate) request_budget: RequestBudget,
+    /// The requests that it rejected although its load showed a free slot.
+    pub(crate) rejection: Rejection,
     /// Until when it wants nothing from this daemon.
     pub(crate) retry_at: Time,
     /// Whether it has said in a response that it leaves. Nothing that its entry says undoes that.
@@ -118,6 +120,7 @@
             named_limit: NamedLimit::default(),
             probe_budget: ProbeBudget::new(now),
             request_budget: RequestBudget::default(),
+            rejection: Rejection::default(),
             retry_at: Time::ZERO,
             said_leaving: false,
             run_hash: LimitNews::run_hash(&worker.id, worker.started_ms),
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -44,7 +44,7 @@
     /// holds on if their entries come back.
     asked: Map<(Name, u64), Asked>,
     /// The registered daemons.
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     /// The next key to assign.
     next_key: u32,
     /// The workers of each service.
@@ -322,11 +322,12 @@
     }
 
     /// Whether a request may be sent to a worker now: it isn't barred, it wants requests from this
-    /// daemon, and this daemon's share of the limit that it names isn't used up.
+    /// daemon, this daemon's share of the limit that it names isn't used up, and it isn't left out
+    /// for its rejections.
     pub fn may_send(&self, key: WorkerKey, now: Time) -> bool {
         let record = self.records.get(&key);
         let open = record.is_some_and(|record| self.is_open(record, now));
-        open && self.standing(key, now) != Standing::Barred
+        open && self.standing(key, now) != Standing::Barred && !self.is_left_out(key, now)
     }
 
     /// When the first of a service's workers may likely get a request again from some daemon.
