Requests leave their data centre when that pays, if bytes have a price

Cause: a data centre's own workers come first, and how much leaves follows from refusals alone, so large responses leave at once and neighbours may be filled to the last slot. Without the option nothing changes.

--- a/crates/call/src/candidates.rs
+++ b/crates/call/src/candidates.rs
@@ -90,7 +90,8 @@
             return None;
         }
         if let Some(load) = health.load
-            && !self.has_room(&call, load)
+            && !(self.has_room(&call, load)
+                && (self.table.is_local(probe.worker) || self.may_overflow(load)))
         {
             return None;
         }
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -5,13 +5,14 @@
         call::{Call, Candidate},
         crashes::{Check, Suspicion, WorkerCrash},
         forwarding::Trial,
+        leaving::LeavingCount,
         reaching::ReachChange,
         split::Split,
     },
     fastrand::Rng,
     forward::{Helpers, Reach},
     limit::RetryBudget,
-    pick::{LatencyEstimate, NoticeSource, WorkerKey, WorkerTable},
+    pick::{LatencyEstimate, NoticeSource, TransferEstimate, WorkerKey, WorkerTable},
     poison::CrashLog,
     site::{Config, HealthReport, LoadReport, Notice, Route},
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc},
@@ -36,6 +37,8 @@
     pub helpers: Helpers,
     /// The request that each use of a connection belongs to.
     pub(crate) links: Map<LinkId, CallId>,
+    /// What left this daemon's data centre, by service.
+    pub(crate) leaving: Map<Name, LeavingCount>,
     /// The lowest priority among the routes of each service, which is the highest number in
     /// `Route::priority`.
     pub(crate) lowest_priority: Map<Name, u32>,
@@ -65,6 +68,8 @@
     pub(crate) timers: BinaryHeap<Reverse<(Time, CallId)>>,
     /// The trials in flight.
     pub(crate) trials: Map<LinkId, Trial>,
+    /// The estimated bytes of requests and their responses, by the route's name.
+    pub(crate) transfers: Map<Name, TransferEstimate>,
     /// The estimated latencies, by the route's name.
     pub(crate) latency_estimates: Map<Name, LatencyEstimate>,
 }
@@ -80,6 +85,7 @@
             crash_log: CrashLog::default(),
             helpers: Helpers::default(),
             links: Map::default(),
+            leaving: Map::default(),
             lowest_priority: Map::default(),
             next_link: 0,
             decisions: Vec::new(),
@@ -94,6 +100,7 @@
             new_crashes: Vec::new(),
             notice_changes: Vec::new(),
             timers: BinaryHeap::new(),
+            transfers: Map::default(),
             trials: Map::default(),
             latency_estimates: Map::default(),
         }
@@ -119,6 +126,9 @@
         self.splits.retain(|name, _| routes.contains(name));
         self.latency_estimates
             .retain(|name, _| routes.contains(name));
+        self.leaving
+            .retain(|name, _| config.services.contains_key(name));
+        self.transfers.retain(|name, _| routes.contains(name));
         self.config = config;
     }
 
@@ -138,6 +148,11 @@
         timer.into_iter().chain(self.next_trial()).min()
     }
 
+    /// The request that a link is used for.
+    pub fn call_of(&self, link: LinkId) -> Option<CallId> {
+        self.links.get(&link).copied()
+    }
+
     /// The service of a request in progress.
     pub fn service_of(&self, call: CallId) -> Option<&Name> {
         self.calls.get(&call).map(|call| &call.service)
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -17,6 +17,7 @@
 mod dispatcher;
 mod forwarding;
 mod id;
+mod leaving;
 mod news;
 mod notice_change;
 mod policy;
@@ -36,6 +37,7 @@
     dispatcher::Dispatcher,
     forwarding::ForwardEnding,
     id::{CallId, LinkId},
+    leaving::LeavingCount,
     notice_change::NoticeChange,
     policy::Policy,
     reaching::ReachChange,
--- a/crates/call/src/policy.rs
+++ b/crates/call/src/policy.rs
@@ -1,4 +1,4 @@
-use {conf::Bounds, unit::Span};
+use {conf::Bounds, pick::TransferPrice, unit::Span};
 
 /// The settings of worker selection, retries and hedges.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -13,6 +13,9 @@
     /// The fraction of the daemon's retry budget up to which hedges are sent; the rest is for
     /// retries after failures.
     pub hedge_fraction: f64,
+    /// The price of bytes between data centres; `None` if requests leave their data centre whenever
+    /// its workers have no room.
+    pub transfer_price: Option<TransferPrice>,
     /// The mean wait before a request probes again after it found no suitable worker. Each wait is
     /// jittered: it is between half and one and a half times as long.
     pub backoff: Span,
@@ -26,6 +29,7 @@
             max_probes: 6,
             probe_timeout: Span::millis(40),
             hedge_fraction: 0.5,
+            transfer_price: None,
             backoff: Span::millis(10),
         }
     }
--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -57,6 +57,7 @@
             service: &call.service,
         };
         let mut any_passed_over = false;
+        let mut any_held = false;
         for selected in self.table.rank(now, &criteria, &mut self.rng) {
             // Workers that failed lately or are leaving are probed only if there is no candidate
             // yet.
@@ -64,6 +65,10 @@
                 self.conclude_selection(now, id);
                 return;
             }
+            if self.is_held(now, &call, selected) {
+                any_held = true;
+                continue;
+            }
             if self.table.take_probe_permit(selected.key, now, probe_limit) {
                 self.send_probe(now, id, selected.key);
                 return;
@@ -73,7 +78,7 @@
         if any_passed_over {
             // The workers that are left may get no more probes from this daemon now.
             self.select_unprobed(now, id);
-        } else if none_probed && !skip_busy {
+        } else if none_probed && !skip_busy && !any_held {
             // Only workers that got the request already are excluded, so there is no worker to
             // wait for.
             self.give_up(now, id);
@@ -131,7 +136,8 @@
         };
         let ranking = self.table.rank(now, &criteria, &mut self.rng);
         for selected in ranking.take_while(|selected| selected.standing <= Standing::Suspect) {
-            if self.likely_free(now, &call, selected.key, selected.standing)
+            if !self.is_held(now, &call, selected)
+                && self.likely_free(now, &call, selected.key, selected.standing)
                 && self.connect_unprobed(now, &call, id, selected.key)
             {
                 return;
@@ -152,7 +158,10 @@
             return false;
         };
         let load = record.load(now);
-        let room = load.is_none_or(|(load, _)| self.has_room(call, load));
+        let local = self.table.is_local(worker);
+        let room = load.is_none_or(|(load, _)| {
+            self.has_room(call, load) && (local || self.may_overflow(load))
+        });
         let alive = load.is_some_and(|(_, age)| age < ALIVE_MAX_AGE);
         // A worker that failed lately must at least have reported its load a short time ago.
         let usable = standing == Standing::Usable || alive;
--- a/crates/call/src/sending.rs
+++ b/crates/call/src/sending.rs
@@ -89,6 +89,9 @@
             worker: candidate.worker,
         };
         self.record(now, id, decision);
+        if !self.table.is_local(candidate.worker) {
+            self.count_leaving(&service);
+        }
         self.table
             .record_sent(candidate.worker, now, candidate.cold_permit.is_some());
         let Some(call) = self.calls.get_mut(&id) else {
--- a/crates/call/tests/dispatcher/main.rs
+++ b/crates/call/tests/dispatcher/main.rs
@@ -12,6 +12,7 @@
 mod failures;
 mod forwarding;
 mod harness;
+mod leaving;
 mod notices;
 mod overload;
 mod pauses;
--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -1,6 +1,6 @@
 //! The daemon's command line.
 
-use {clap::Parser, std::path::PathBuf};
+use {clap::Parser, pick::TransferPrice, std::path::PathBuf};
 
 /// Serves callers' requests on this VM.
 #[derive(Debug, Parser)]
@@ -13,4 +13,9 @@
     /// Settings file, in place of the one that the environment names.
     #[arg(long, value_name = "FILE")]
     pub(crate) settings: Option<PathBuf>,
+
+    /// Price of a gigabyte between data centres, in responses that arrive in time. Without it,
+    /// requests leave their data centre whenever its workers have no room.
+    #[arg(long, value_name = "RESPONSES")]
+    pub(crate) transfer_price: Option<TransferPrice>,
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,7 +26,7 @@
         sys::socket::{setsockopt, sockopt::IpBindAddressNoPort},
     },
     peer::{HEARTBEAT_PERIOD, Roster, Stage},
-    pick::{WorkerKey, WorkerTable},
+    pick::{TransferPrice, WorkerKey, WorkerTable},
     serde_json::{Value, json},
     site::{Config, View},
     slab::Slab,
@@ -118,6 +118,7 @@
     pub(crate) fn start(
         settings: Settings,
         metrics_port: Option<u16>,
+        transfer_price: Option<TransferPrice>,
     ) -> Result<Self, DaemonError> {
         let clock = Clock::start();
         let now = clock.now();
@@ -150,7 +151,10 @@
             peer_port: port,
         };
         let table = WorkerTable::new(settings.name.clone(), settings.centre.clone());
-        let policy = Policy::new(settings.bounds);
+        let policy = Policy {
+            transfer_price,
+            ..Policy::new(settings.bounds)
+        };
         let mut daemon = Self {
             alive_peers: Set::default(),
             calls: Map::default(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -33,6 +33,7 @@
 mod site_changes;
 mod store_conn;
 mod timers;
+mod transfers;
 mod turns;
 mod worker_checks;
 mod worker_responses;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The daemon's metrics.
 
 use {
-    call::Decision,
+    call::{Decision, LeavingCount},
     prometheus::{
         Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
         TextEncoder, core::Collector,
@@ -34,6 +34,12 @@
     pub(crate) latency: Histogram,
     /// Responses that the daemon itself gave, by status.
     own_responses: IntCounterVec,
+    /// Bytes of requests and responses between this data centre and others, by service.
+    leaving_bytes: IntCounterVec,
+    /// Times that requests waited for a worker of the own data centre, by service.
+    leaving_held: IntCounterVec,
+    /// Requests sent to workers of other data centres, by service.
+    leaving_sends: IntCounterVec,
     /// Health probes sent to workers.
     pub(crate) probes: IntCounter,
     /// Probes of workers that failed, by how.
@@ -107,6 +113,24 @@
                 "Answers of the daemon's own",
                 "status",
             ),
+            leaving_bytes: counter_vec(
+                &registry,
+                "leaving_bytes_total",
+                "Bytes of requests and responses between data centres",
+                "service",
+            ),
+            leaving_held: counter_vec(
+                &registry,
+                "leaving_held_total",
+                "Times that a request waited for a worker of its data centre",
+                "service",
+            ),
+            leaving_sends: counter_vec(
+                &registry,
+                "leaving_sends_total",
+                "Requests sent to workers of other data centres",
+                "service",
+            ),
             probes: counter(&registry, "probes_total", "Health requests sent to workers"),
             probe_failures: counter_vec(
                 &registry,
@@ -194,6 +218,18 @@
         }
     }
 
+    /// Raises the counters of what left the data centre for a service.
+    pub(crate) fn set_leaving(&self, service: &str, count: &LeavingCount) {
+        for (metric, value) in [
+            (&self.leaving_bytes, count.bytes),
+            (&self.leaving_held, count.held),
+            (&self.leaving_sends, count.sends),
+        ] {
+            let counter = metric.with_label_values(&[service]);
+            counter.inc_by(value.saturating_sub(counter.get()));
+        }
+    }
+
     /// The metrics in Prometheus text format. If they can't be encoded, a comment in that format
     /// says why.
     pub(crate) fn encode(&self) -> Vec<u8> {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -59,6 +59,7 @@
         }
         self.dispatcher.table.prune(now);
         self.prune_pools();
+        self.update_leaving_metrics();
     }
 
     /// Adds what this daemon learned of workers to the heartbeats of a tick.
--- a/crates/daemon/src/relays.rs
+++ b/crates/daemon/src/relays.rs
@@ -53,12 +53,14 @@
             return;
         }
         let (call, link) = (*call, *link);
+        let length = partial.length.unwrap_or(partial.buffered);
         let head = read_response_head(partial.head);
         let served = classify(&head, partial.head) == AttemptEnding::Served;
         if served && head.id.as_deref() == Some(&**id) {
             if let Some(worker) = self.worker_conn(conn_key) {
                 worker.phase = WorkerPhase::Relaying(call);
             }
+            self.record_transfer(link, length);
             let report = AttemptReport {
                 ending: AttemptEnding::Served,
                 load: head.load,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -32,6 +32,6 @@
 
 fn run(arguments: Arguments) -> Result<(), DaemonError> {
     let settings = read_settings(arguments.settings)?;
-    let mut daemon = Daemon::start(settings, arguments.metrics_port)?;
+    let mut daemon = Daemon::start(settings, arguments.metrics_port, arguments.transfer_price)?;
     daemon.run()
 }
--- a/crates/daemon/src/worker_responses.rs
+++ b/crates/daemon/src/worker_responses.rs
@@ -216,6 +216,9 @@
             load: head.load,
             notice: (!head.misdirected).then_some(head.notice),
         };
+        if report.ending == AttemptEnding::Served {
+            self.record_transfer(link, response.body.len());
+        }
         let keep = !response.closes_connection && report.ending != AttemptEnding::InvalidResponse;
         if report.ending == AttemptEnding::Served || report.ending == AttemptEnding::Failed {
             let worker = self.worker_conn(conn_key).map(|worker| worker.key);
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -4,6 +4,7 @@
 mod attempt_outcome;
 mod fleet;
 mod latency_estimate;
+mod locality;
 mod median_estimate;
 mod named_limit;
 mod selection;
@@ -14,6 +15,7 @@
 pub use {
     attempt_outcome::AttemptOutcome,
     latency_estimate::LatencyEstimate,
+    locality::{PriceError, TransferEstimate, TransferPrice, has_remote_room},
     median_estimate::MedianEstimate,
     named_limit::{LimitNews, NoticeSource},
     selection::{Criteria, Ranking, Selection},
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -192,6 +192,19 @@
             .collect()
     }
 
+    /// Whether a worker is in this daemon's own data centre; an unknown one isn't.
+    pub fn is_local(&self, key: WorkerKey) -> bool {
+        let record = self.records.get(&key);
+        record.is_some_and(|record| record.worker.centre == self.centre)
+    }
+
+    /// Whether a service has a worker in this daemon's own data centre that is usable.
+    pub fn has_local(&self, service: &str, now: Time) -> bool {
+        let keys = self.services.get(service).map(Vec::as_slice);
+        let mut keys = keys.unwrap_or_default().iter();
+        keys.any(|key| self.is_local(*key) && self.standing(*key, now) == Standing::Usable)
+    }
+
     /// The standing of a worker; unknown workers are barred.
     pub fn standing(&self, key: WorkerKey, now: Time) -> Standing {
         self.records.get(&key).map_or(Standing::Barred, |record| {
