--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -5,6 +5,7 @@
         call::{Call, Candidate},
         crashes::{Check, Suspicion, WorkerCrash},
         forwarding::Trial,
+        leaving::LeavingCount,
         reaching::ReachChange,
         rejections::RejectionChange,
         split::Split,
@@ -12,7 +13,7 @@
     fastrand::Rng,
     forward::{Helpers, Reach},
     limit::RetryBudget,
-    pick::{LatencyEstimate, NoticeSource, WorkerKey, WorkerTable},
+    pick::{LatencyEstimate, NoticeSource, TransferEstimate, WorkerKey, WorkerTable},
     poison::CrashLog,
     site::{Accounts, Config, HealthReport, LoadReport, Notice, Route},
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc},
@@ -39,6 +40,8 @@
     pub helpers: Helpers,
     /// The request that each use of a connection belongs to.
     pub(crate) links: Map<LinkId, CallId>,
+    /// What left this daemon's data centre, by service.
+    pub(crate) leaving: Map<Name, LeavingCount>,
     /// The lowest priority that a request to each service may have, which is the highest number.
     pub(crate) lowest_priority: Map<Name, u32>,
     pub(crate) next_link: u64,
@@ -71,6 +74,8 @@
     pub(crate) timers: BinaryHeap<Reverse<(Time, CallId)>>,
     /// The trials in flight.
     pub(crate) trials: Map<LinkId, Trial>,
+    /// The estimated bytes of requests and their responses, by the route's name.
+    pub(crate) transfers: Map<Name, TransferEstimate>,
     /// The estimated latencies, by the route's name.
     pub(crate) latency_estimates: Map<Name, LatencyEstimate>,
 }
@@ -87,6 +92,7 @@
             crash_log: CrashLog::default(),
             helpers: Helpers::default(),
             links: Map::default(),
+            leaving: Map::default(),
             lowest_priority: Map::default(),
             next_link: 0,
             decisions: Vec::new(),
@@ -103,6 +109,7 @@
             notice_changes: Vec::new(),
             rejection_changes: Vec::new(),
             timers: BinaryHeap::new(),
+            transfers: Map::default(),
             trials: Map::default(),
             latency_estimates: Map::default(),
         }
@@ -133,6 +140,9 @@
         self.latency_estimates
             .retain(|name, _| routes.contains(name));
         self.accounts = Accounts::new(&config);
+        self.leaving
+            .retain(|name, _| config.services.contains_key(name));
+        self.transfers.retain(|name, _| routes.contains(name));
         self.config = config;
     }
 
@@ -157,6 +167,11 @@
         timer.into_iter().chain(self.next_trial()).min()
     }
 
+    /// The request that a link is used for.
+    pub fn call_of(&self, link: LinkId) -> Option<CallId> {
+        self.links.get(&link).copied()
+    }
+
     /// The service of a request in progress.
     pub fn service_of(&self, call: CallId) -> Option<&Name> {
         self.calls.get(&call).map(|call| &call.service)
@@ -251,12 +266,19 @@
             })
     }
 
-    /// The estimated latency of the request's route.
+    /// The estimated latency of the request's route, to be updated.
     pub(crate) fn latency_estimate(&mut self, call: &Call) -> &mut LatencyEstimate {
-        let initial = call.route.objective.scale(INITIAL_LATENCY);
+        let known = self.known_latency(call);
         self.latency_estimates
             .entry(call.route.name.clone())
-            .or_insert_with(|| LatencyEstimate::new(initial))
+            .or_insert(known)
+    }
+
+    /// The estimated latency of the request's route.
+    pub(crate) fn known_latency(&self, call: &Call) -> LatencyEstimate {
+        let initial = call.route.objective.scale(INITIAL_LATENCY);
+        let known = self.latency_estimates.get(&call.route.name).copied();
+        known.unwrap_or_else(|| LatencyEstimate::new(initial))
     }
 
     /// Handles whatever is due by now.
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -18,9 +18,11 @@
 mod dispatcher;
 mod forwarding;
 mod id;
+mod leaving;
 mod news;
 mod notice_change;
 mod policy;
+mod preview;
 mod reaching;
 mod rejections;
 mod relay;
@@ -38,8 +40,10 @@
     dispatcher::Dispatcher,
     forwarding::ForwardEnding,
     id::{CallId, LinkId},
+    leaving::LeavingCount,
     notice_change::NoticeChange,
     policy::Policy,
+    preview::{Preview, PreviewVerdict, PreviewWorker},
     reaching::ReachChange,
     rejections::RejectionChange,
     relay::{Relay, RelayFailure, keeps_whole},
--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -57,6 +57,7 @@
             service: &call.service,
         };
         let mut any_passed_over = false;
+        let mut any_held = false;
         for selected in self.table.rank(now, &criteria, &mut self.rng) {
             // Workers that failed lately, reject requests or are leaving are probed only if there is
             // no candidate yet.
@@ -64,16 +65,23 @@
                 self.conclude_selection(now, id);
                 return;
             }
+            if self.must_hold(now, &call, selected) {
+                any_held = true;
+                continue;
+            }
             if self.table.take_probe_permit(selected.key, now, probe_limit) {
                 self.send_probe(now, id, selected.key);
                 return;
             }
             any_passed_over = true;
         }
+        if any_held {
+            self.count_held(&call.service);
+        }
         if any_passed_over {
             // The workers that are left may get no more probes from this daemon now.
             self.select_unprobed(now, id);
-        } else if none_probed && !skip_busy {
+        } else if none_probed && !skip_busy && !any_held {
             // Only workers that got the request already are excluded, so there is no worker to
             // wait for.
             self.give_up(now, id);
@@ -131,7 +139,8 @@
         };
         let ranking = self.table.rank(now, &criteria, &mut self.rng);
         for selected in ranking.take_while(|selected| selected.standing <= Standing::Suspect) {
-            if self.likely_free(now, &call, selected.key, selected.standing)
+            if !self.must_hold(now, &call, selected)
+                && self.likely_free(now, &call, selected.key, selected.standing)
                 && self.connect_unprobed(now, &call, id, selected.key)
             {
                 return;
@@ -152,7 +161,7 @@
             return false;
         };
         let load = record.load(now);
-        let room = load.is_none_or(|(load, _)| self.has_room(call, load));
+        let room = load.is_none_or(|(load, _)| self.fits(now, call, worker, load));
         let alive = load.is_some_and(|(_, age)| age < ALIVE_MAX_AGE);
         // A worker that failed lately must at least have reported its load a short time ago.
         let usable = standing == Standing::Usable || alive;
@@ -283,9 +292,15 @@
     }
 
     /// Whether the latency objective can likely still be met after another backoff.
-    pub(crate) fn may_back_off(&mut self, now: Time, call: &Call) -> bool {
-        let baseline = self.latency_estimate(call).baseline();
-        call.objective_left(now) > baseline.scale(BACKOFF_MARGIN) + self.policy.backoff
+    pub(crate) fn may_back_off(&self, now: Time, call: &Call) -> bool {
+        now < call.arrived_at + self.backoff_limit(call)
+    }
+
+    /// How long after its arrival a request stops to back off.
+    pub(crate) fn backoff_limit(&self, call: &Call) -> Span {
+        let needed = self.known_latency(call).baseline().scale(BACKOFF_MARGIN);
+        let objective = call.route.objective;
+        objective.saturating_sub(needed + self.policy.backoff)
     }
 
     /// Discards the candidate and starts a new round of worker selection after a jittered backoff.
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -4,6 +4,7 @@
 mod attempt_outcome;
 mod fleet;
 mod latency_estimate;
+mod locality;
 mod median_estimate;
 mod named_limit;
 mod rejection;
@@ -15,6 +16,7 @@
 pub use {
     attempt_outcome::AttemptOutcome,
     latency_estimate::LatencyEstimate,
+    locality::{PriceError, TransferEstimate, TransferPrice, has_remote_room},
     median_estimate::MedianEstimate,
     named_limit::{LimitNews, NoticeSource},
     rejection::{RejectionNews, RejectionSource},
