--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -22,16 +22,20 @@
     cuts: bool,
     downloads: bool,
     notices: bool,
+    /// Whether the daemons are replaced one after the other, and back again.
+    replaced: bool,
     restores: bool,
 }
 
 fn run(seed: u64, seconds: u64, extras: Extras) {
+    let program = Path::new(env!("CARGO_BIN_EXE_anvilferryd"));
     let soak = Soak {
+        production: extras.replaced.then(|| program.to_owned()),
         cuts: extras.cuts,
         daemons: 5,
         downloads: extras.downloads,
         notices: extras.notices,
-        program: Path::new(env!("CARGO_BIN_EXE_anvilferryd")).to_owned(),
+        program: program.to_owned(),
         restores: extras.restores,
         seed,
         duration: Duration::from_secs(seconds),
@@ -57,6 +61,20 @@
     soak(306, 8);
 }
 
+/// Guards against daemons that are replaced under load and refuse each other's messages. The build
+/// that they replace is the same here; `soak --production` runs with an earlier one.
+#[test]
+fn a_short_soak_in_which_all_daemons_are_replaced_passes() {
+    run(
+        20_261_207,
+        10,
+        Extras {
+            replaced: true,
+            ..Extras::default()
+        },
+    );
+}
+
 #[test]
 fn a_short_soak_with_restores_of_the_store_passes() {
     run(
--- a/crates/standin/src/bin/soak.rs
+++ b/crates/standin/src/bin/soak.rs
@@ -26,6 +26,11 @@
     #[arg(long)]
     notices: bool,
 
+    /// The path of an earlier build's program: start with it, replace daemon after daemon by those of
+    /// `--program` in the first half, and go back in the second.
+    #[arg(long)]
+    production: Option<PathBuf>,
+
     /// The path of the daemon's program.
     #[arg(long, default_value = "target/release/anvilferryd")]
     program: PathBuf,
@@ -60,6 +65,7 @@
             daemons: arguments.daemons,
             downloads: arguments.downloads,
             notices: arguments.notices,
+            production: arguments.production.clone(),
             program: arguments.program.clone(),
             restores: arguments.restores,
             seed,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -72,6 +72,7 @@
     log: PathBuf,
     /// The process, from its launch until it is killed or found to have exited.
     process: Option<Process>,
+    program: PathBuf,
     settings: Settings,
     settings_file: PathBuf,
 }
@@ -85,7 +86,6 @@
     folder: PathBuf,
     /// Every execution of a request by a worker.
     pub executions: ExecutionLog,
-    program: PathBuf,
     /// The stand-in for the platform's store.
     pub store: Store,
     /// The proxies between the daemons and the store, one per daemon; empty in a fleet without
@@ -113,7 +113,6 @@
             daemons: Vec::new(),
             folder,
             executions,
-            program: plan.program.clone(),
             store,
             store_proxies: Vec::new(),
             worker_proxies: HashMap::new(),
@@ -190,7 +189,7 @@
     pub fn launch(&mut self, index: usize) -> Result<(), StandinError> {
         let daemon = &mut self.daemons[index];
         let variable = (SETTINGS_VARIABLE, daemon.settings_file.as_path());
-        daemon.process = Some(Process::start(&self.program, variable, &daemon.log)?);
+        daemon.process = Some(Process::start(&daemon.program, variable, &daemon.log)?);
         Ok(())
     }
 
@@ -201,10 +200,18 @@
     pub fn launch_with_unread_log(&mut self, index: usize) -> Result<(), StandinError> {
         let daemon = &mut self.daemons[index];
         let variable = (SETTINGS_VARIABLE, daemon.settings_file.as_path());
-        daemon.process = Some(Process::start_with_unread_output(&self.program, variable)?);
+        daemon.process = Some(Process::start_with_unread_output(
+            &daemon.program,
+            variable,
+        )?);
         Ok(())
     }
 
+    /// Sets the program with which a daemon is launched from now on.
+    pub fn set_program(&mut self, index: usize, program: &Path) {
+        self.daemons[index].program = program.to_owned();
+    }
+
     /// Kills a daemon with SIGKILL and waits for its process to end.
     pub fn kill(&mut self, index: usize) {
         self.daemons[index].process = None;
@@ -321,6 +328,7 @@
             self.daemons.push(Daemon {
                 log: self.folder.join(format!("{name}.log")),
                 process: None,
+                program: plan.program.clone(),
                 settings,
                 settings_file,
             });
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -5,6 +5,7 @@
 mod fault;
 mod injection;
 mod notices;
+mod replacements;
 mod report;
 mod runner;
 
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -8,6 +8,15 @@
     std::time::Duration,
 };
 
+/// A build of the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Build {
+    /// The one that ran before an upgrade.
+    Production,
+    /// The one under test.
+    Tested,
+}
+
 /// A fault of a soak. An index of a daemon, worker or data centre is taken modulo their number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -27,6 +36,8 @@
     Pause(usize),
     /// Makes a daemon reload its settings with SIGHUP.
     Reload(usize),
+    /// Stops a daemon with SIGTERM, and starts one of a build in its place when the fault ends.
+    Replace(usize, Build),
     /// Copies the store, and has it come back from the copy when the fault ends.
     Restore,
     /// Sets a fault of the store.
@@ -109,6 +120,7 @@
                 | Self::Kill(_)
                 | Self::DropResponses
                 | Self::Pause(_)
+                | Self::Replace(..)
                 | Self::Restore
                 | Self::Store(_)
                 | Self::StoreProxy(..)
--- a/crates/standin/src/soak/injection.rs
+++ b/crates/standin/src/soak/injection.rs
@@ -66,6 +66,7 @@
             Fault::Reload(index) if self.is_undisturbed(index % size) => {
                 self.fleet.signal(index % size, Signal::SIGHUP)?;
             }
+            Fault::Replace(index, _) => self.fleet.signal(index, Signal::SIGTERM)?,
             Fault::Restore if self.is_restoring() => return Ok(()),
             Fault::Restore => self.fleet.store.back_up(),
             Fault::Store(fault) => self.fleet.store.set_fault(fault),
@@ -126,6 +127,13 @@
                 self.fleet.signal(index % size, Signal::SIGCONT)?;
                 self.history.disrupted.push(interval(active, index % size));
             }
+            Fault::Replace(index, build) => {
+                self.fleet.wait_stopped(index, STOP_TIMEOUT)?;
+                if let Some(replacements) = &mut self.replacements {
+                    replacements.launch(&mut self.fleet, index, build)?;
+                }
+                self.history.stopped.push(interval(active, index));
+            }
             Fault::Restore => self.restore()?,
             Fault::Store(_) => self.fleet.store.set_fault(StoreFault::None),
             Fault::StoreProxy(index, _) => {
--- a/crates/standin/src/soak/report.rs
+++ b/crates/standin/src/soak/report.rs
@@ -62,6 +62,9 @@
     pub violations: Vec<String>,
     /// The faults, each with the seconds from the start of the soak to its beginning.
     pub faults: Vec<String>,
+    /// Where daemons of two builds ran: how many datagrams and requests of other daemons those of the
+    /// earlier build refused.
+    pub refused_in_production: Option<(usize, usize)>,
     /// The number of requests with each outcome.
     pub outcomes: HashMap<Outcome, usize>,
 }
@@ -71,6 +74,12 @@
         let mut outcomes: Vec<_> = self.outcomes.iter().collect();
         outcomes.sort();
         write!(f, "{} faults, {outcomes:?}", self.faults.len())?;
+        if let Some((datagrams, requests)) = self.refused_in_production {
+            write!(
+                f,
+                ", {datagrams} datagrams and {requests} requests refused by the earlier build"
+            )?;
+        }
         for violation in self.violations.iter().take(MAX_SHOWN) {
             write!(f, "\n  broken: {violation}")?;
         }
--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -9,6 +9,7 @@
         soak::{
             callers::{TimedResult, run_caller},
             fault::Fault,
+            replacements::Replacements,
             report::{History, SoakReport, check},
         },
     },
@@ -63,6 +64,9 @@
     pub downloads: bool,
     /// Whether workers say now and then that they leave, ask to back off or name a limit.
     pub notices: bool,
+    /// The path of the program of an earlier build. The fleet starts with it; its daemons are replaced
+    /// one after the other by those of `program`, and back again.
+    pub production: Option<PathBuf>,
     /// The path of the daemon's program.
     pub program: PathBuf,
     /// Whether the store comes back from older copies now and then.
@@ -91,6 +95,8 @@
     pub(crate) history: History,
     /// The number in the id of the next worker.
     pub(crate) next_worker: usize,
+    /// The replacements of daemons by those of another build, if there are two.
+    pub(crate) replacements: Option<Replacements>,
     /// Whether faults that delay the propagation of the store's changes are left out, so that the
     /// bounds on the propagation time are checked all the time.
     strict: bool,
@@ -114,7 +120,8 @@
     /// Fails if a stand-in fails, a daemon doesn't start or stop in time, or the fleet doesn't
     /// recover.
     pub fn run(&self) -> Result<SoakReport, StandinError> {
-        let mut plan = FleetPlan::new(&self.program);
+        let first = self.production.as_ref().unwrap_or(&self.program);
+        let mut plan = FleetPlan::new(first);
         plan.daemon_centres = CENTRES.iter().copied().cycle().take(self.daemons).collect();
         let workers = MIN_WORKERS.max(self.daemons / DAEMONS_PER_WORKER);
         plan.worker_centres = CENTRES.iter().copied().cycle().take(workers).collect();
@@ -129,6 +136,16 @@
                 .collect(),
             history: History::default(),
             next_worker: fleet.workers.len(),
+            replacements: self.production.clone().map(|production| {
+                Replacements::new(
+                    production,
+                    self.program.clone(),
+                    self.daemons,
+                    self.duration,
+                    // Not the generator of the faults, so that seeds keep these.
+                    &mut Rng::with_seed(self.seed),
+                )
+            }),
             strict: !self.restores && self.seed.is_multiple_of(STRICT_INTERVAL),
             downloads: self.downloads,
             cuts: self.cuts,
@@ -184,10 +201,18 @@
             .violations
             .extend(unserved.map(|request| format!("not served after the recovery: {request:?}")));
         report.faults = faults;
+        if let Some(replacements) = &self.replacements {
+            let refusals = replacements.refusals(&self.fleet)?;
+            report.refused_in_production = Some((refusals.datagrams, refusals.requests));
+            let faults = refusals.faults.into_iter();
+            let faults = faults.map(|line| format!("a message may not be refused: {line}"));
+            report.violations.extend(faults);
+        }
         Ok(report)
     }
 
     /// Begins random faults at random times over `duration`, and ends those that expire meanwhile.
+    /// Goes on until all replacements of daemons have begun.
     fn inject_faults(
         &mut self,
         duration: Duration,
@@ -195,8 +220,13 @@
     ) -> Result<(), StandinError> {
         let began = Instant::now();
         let mut next = began;
-        while began.elapsed() < duration {
-            if Instant::now() >= next {
+        while began.elapsed() < duration || !self.is_replaced() {
+            if let Some(fault) = self.take_replacement(began.elapsed()) {
+                let length = Duration::from_millis(self.rng.u64(200..1_000));
+                faults.push(format!("{:.2} {fault:?}", began.elapsed().as_secs_f64()));
+                self.begin(fault, length)?;
+            }
+            if Instant::now() >= next && began.elapsed() < duration {
                 let fault = self.draw_fault();
                 let mut length = Duration::from_millis(self.rng.u64(200..2_500));
                 if matches!(fault, Fault::Evacuate(_) | Fault::WorkerLimits(..)) {
@@ -212,6 +242,22 @@
         Ok(())
     }
 
+    fn is_replaced(&self) -> bool {
+        let replacements = self.replacements.as_ref();
+        replacements.is_none_or(Replacements::is_done)
+    }
+
+    /// The replacement of a daemon that is to begin now. One daemon is replaced at a time.
+    fn take_replacement(&mut self, elapsed: Duration) -> Option<Fault> {
+        let mut replacements = self.replacements.take()?;
+        let mut active = self.active.iter();
+        let replacing = active.any(|active| matches!(active.fault, Fault::Replace(..)));
+        let may_begin = |daemon| !replacing && self.is_undisturbed(daemon);
+        let due = replacements.take_due(elapsed, may_begin);
+        self.replacements = Some(replacements);
+        due.map(|(daemon, build)| Fault::Replace(daemon, build))
+    }
+
     /// Draws a fault that may begin now.
     fn draw_fault(&mut self) -> Fault {
         if self.cuts && self.rng.u32(..EXTRA_INTERVAL) == 0 {
@@ -301,7 +347,10 @@
     pub(crate) fn is_undisturbed(&self, daemon: usize) -> bool {
         let size = self.fleet.size();
         !self.active.iter().any(|active| match active.fault {
-            Fault::Kill(index) | Fault::Pause(index) | Fault::Term(index) => index % size == daemon,
+            Fault::Kill(index)
+            | Fault::Pause(index)
+            | Fault::Replace(index, _)
+            | Fault::Term(index) => index % size == daemon,
             _ => false,
         })
     }
