--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -6,6 +6,7 @@
 mod injection;
 mod keys;
 mod notices;
+mod replacements;
 mod report;
 mod runner;
 
