Crate rollout: exposure, evidence, verdicts and lanes of a service's versions

Cause: a service's traffic is to be moved to a new version within fleet-wide limits on a bad one. Pure state machines: each daemon's share of the exposure, counts that are summed by process run, verdicts by binomial tails against the old version at the same time, and which versions may get requests. Not wired yet.

--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -11,6 +11,7 @@
 mod key_digest;
 mod notice;
 mod revs;
+mod rollout;
 mod route;
 mod route_kind;
 mod service;
@@ -28,6 +29,7 @@
     key_digest::KeyDigest,
     notice::Notice,
     revs::{Era, Rev, Revs},
+    rollout::{Rollout, RolloutState},
     route::{Route, Target},
     route_kind::RouteKind,
     service::{ColdStart, Service},
