Rollouts of a service's version, from the store's object to the written state

Cause: traffic is to move to a new version only if it is good, and a bad one may get a tenth of the requests. The topic rollouts (left out of the legacy heartbeat), its status write, versions in worker selection, evidence from the ends of attempts, a section of heartbeats, decisions by watchers. Enabled where exposure-share is set. Until the negotiation of formats is merged, one heartbeat in five goes out in the extended form there. Measured: three tests with four real daemons: a good version is completed before a 24 s deadline and its old workers aren't used after, one that fails all requests is rolled back within its exposure, a replacement without an object is served.

--- a/crates/call/benches/selection.rs
+++ b/crates/call/benches/selection.rs
@@ -120,6 +120,7 @@
         retry_extra: 630.0,
         retry_ratio: 0.2,
         retry_window: Span::secs(10),
+        rollouts: None,
     };
     let mut dispatcher = Dispatcher::new(Policy::new(bounds), table, fastrand::Rng::with_seed(1));
     let mut config = Config::default();
--- a/crates/call/src/call.rs
+++ b/crates/call/src/call.rs
@@ -81,6 +81,8 @@
     pub(crate) forward: Option<Forward>,
     /// Whether another daemon forwarded the request, so that it isn't forwarded again.
     pub(crate) from_peer: bool,
+    /// Whether it is to go to the target version of a rollout.
+    pub(crate) canary: bool,
     /// Whether a hedge was started; no other is started while this is set. Reset if the hedge
     /// could not be sent and may be tried again.
     pub(crate) hedged: bool,
@@ -125,6 +127,7 @@
             fingerprint,
             forward: None,
             from_peer: false,
+            canary: false,
             hedged: false,
             candidate: None,
             backoff_until: None,
--- a/crates/call/src/completion.rs
+++ b/crates/call/src/completion.rs
@@ -7,6 +7,7 @@
         dispatcher::Dispatcher,
     },
     pick::{AttemptOutcome, NoticeSource, WorkerKey},
+    std::sync::Arc,
     unit::{Span, Time},
 };
 
@@ -116,6 +117,12 @@
         } else {
             self.note_reached(now, attempt.worker);
         }
+        if outcome != AttemptOutcome::NotRun
+            && let Some(route) = self.calls.get(&id).map(|call| Arc::clone(&call.route))
+        {
+            let failed = outcome == AttemptOutcome::Failed;
+            self.record_version(&route.name, attempt, Some(failed));
+        }
         self.table
             .record_outcome(attempt.worker, now, outcome, attempt.expected);
         if let Some(load) = report.load {
@@ -149,6 +156,8 @@
             SelectionState::Hedge => call.selection = SelectionState::Primary,
             SelectionState::Primary => {}
             SelectionState::Idle if call.attempts.is_empty() => {
+                // A request that failed at the target version isn't sent to it again.
+                call.canary = false;
                 call.selection = SelectionState::Primary;
                 self.select_worker(now, id);
             }
@@ -237,6 +246,7 @@
     /// response was delivered.
     pub(crate) fn close_all(&mut self, call: &Call, delivered: Option<LinkId>) {
         for attempt in &call.attempts {
+            self.record_version(&call.route.name, attempt, None);
             self.table.record_outcome(
                 attempt.worker,
                 Time::ZERO,
@@ -275,7 +285,9 @@
             return;
         }
         let workers: Vec<WorkerKey> = call.attempts.iter().map(|attempt| attempt.worker).collect();
+        let route = Arc::clone(&call.route);
         for attempt in std::mem::take(&mut call.attempts) {
+            self.record_version(&route.name, &attempt, Some(true));
             self.table.record_outcome(
                 attempt.worker,
                 now,
--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -13,6 +13,7 @@
     limit::RetryBudget,
     pick::{LatencyEstimate, NoticeSource, WorkerKey, WorkerTable},
     poison::CrashLog,
+    rollout::Rollout,
     site::{Config, HealthReport, LoadReport, Notice, Route},
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc},
     unit::{Map, Name, Set, Span, Time},
@@ -50,6 +51,10 @@
     /// This daemon's share of the limit on retries and hedges, by the service's name.
     pub(crate) retry_budgets: Map<Name, RetryBudget>,
     pub(crate) rng: Rng,
+    /// The rollouts of services' versions, by the service's name.
+    pub rollouts: Map<Name, Rollout>,
+    /// The time of the event that is being handled.
+    pub(crate) now: Time,
     /// The weighted split of each route, by the route's name.
     pub(crate) splits: Map<Name, Split>,
     /// Workers that may have crashed.
@@ -88,6 +93,8 @@
             reaches: Map::default(),
             retry_budgets: Map::default(),
             rng,
+            rollouts: Map::default(),
+            now: Time::ZERO,
             splits: Map::default(),
             suspicions: Vec::new(),
             table,
@@ -145,6 +152,7 @@
 
     /// Handles an event and returns the actions to carry out, in order.
     pub fn handle(&mut self, now: Time, event: CallEvent) -> Vec<CallAction> {
+        self.now = now;
         match event {
             CallEvent::AttemptEnded(link, report) => self.attempt_ended(now, link, report),
             CallEvent::ProbeEnded(link, health) => self.probe_ended(now, link, health),
@@ -204,6 +212,7 @@
             }
             None => self.retry_budget(&call.service).record_request(now),
         }
+        call.canary = self.draw_canary(now, &call.service);
         self.timers.push(Reverse((call.deadline, id)));
         self.calls.insert(id, call);
         self.select_worker(now, id);
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -22,6 +22,7 @@
 mod policy;
 mod reaching;
 mod relay;
+mod rollouts;
 mod selection;
 mod sending;
 mod split;
--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -52,6 +52,7 @@
         let skip_busy = call.backed_off && self.may_back_off(now, &call);
         let probe_limit = self.policy.bounds.probe_rate;
         let criteria = Criteria {
+            canary: call.canary,
             skip_busy,
             excluded: &excluded,
             service: &call.service,
@@ -76,7 +77,9 @@
         } else if none_probed && !skip_busy {
             // Only workers that got the request already are excluded, so there is no worker to
             // wait for.
-            self.give_up(now, id);
+            if !self.leave_canary(now, id) {
+                self.give_up(now, id);
+            }
         } else {
             self.conclude_selection(now, id);
         }
@@ -125,6 +128,7 @@
         }
         let excluded = [&call.probed[..], &call.sent_to[..]].concat();
         let criteria = Criteria {
+            canary: call.canary,
             skip_busy: false,
             excluded: &excluded,
             service: &call.service,
@@ -267,6 +271,9 @@
     /// Ends a round of worker selection: sends the request to the candidate, backs off to wait for
     /// a better one, stops a hedge, or gives up.
     pub(crate) fn conclude_selection(&mut self, now: Time, id: CallId) {
+        if self.leave_canary(now, id) {
+            return;
+        }
         let Some(call) = self.calls.get(&id).cloned() else {
             return;
         };
--- a/crates/call/src/sending.rs
+++ b/crates/call/src/sending.rs
@@ -50,14 +50,21 @@
         };
         call.candidate = None;
         call.probed.clear();
+        let canary = call.canary;
         if self.barred(now, id).is_some() {
             self.discard_candidate(&candidate);
             self.stop_barred(now, id);
             return;
         }
         let outdated = now.since(candidate.found_at) > MAX_CANDIDATE_AGE;
-        if outdated || !self.table.may_send(candidate.worker, now) {
+        // A worker may have got another lane since it was probed.
+        let other_lane = canary != self.is_canary(candidate.worker);
+        let admitted = !other_lane && self.rollout_admits(now, candidate.worker);
+        if outdated || !admitted || !self.table.may_send(candidate.worker, now) {
             self.discard_candidate(&candidate);
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.canary &= admitted;
+            }
             self.select_worker(now, id);
             return;
         }
@@ -91,6 +98,7 @@
         self.record(now, id, decision);
         self.table
             .record_sent(candidate.worker, now, candidate.cold_permit.is_some());
+        self.count_send(candidate.worker, !repeat);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -162,6 +170,7 @@
             && call.attempts.iter().all(slow);
         if due {
             call.hedged = true;
+            call.canary = false;
             call.selection = SelectionState::Hedge;
             self.select_worker(now, id);
         }
--- a/crates/call/tests/simulation/sim_daemon.rs
+++ b/crates/call/tests/simulation/sim_daemon.rs
@@ -44,6 +44,7 @@
         retry_extra: 56.0,
         retry_ratio: 0.2,
         retry_window: Span::secs(10),
+        rollouts: None,
     }
 }
 
--- a/crates/conf/src/bounds.rs
+++ b/crates/conf/src/bounds.rs
@@ -22,4 +22,17 @@
     pub retry_ratio: f64,
     /// The length of that window; never zero.
     pub retry_window: Span,
+    /// The limits on rollouts; `None` where no version is rolled out.
+    pub rollouts: Option<RolloutBounds>,
+}
+
+/// Limits on what a service's new version gets before it is known to be good.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutBounds {
+    /// The longest time from the 50th bad response to the last request that is sent to it.
+    pub rollback: Span,
+    /// The part of the service's requests that it may get.
+    pub share: f64,
+    /// The requests that it may get beyond that part.
+    pub slack: f64,
 }
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -10,7 +10,7 @@
 mod site_file;
 
 pub use {
-    bounds::Bounds,
+    bounds::{Bounds, RolloutBounds},
     listen::Listen,
     problem::{Problem, Problems},
     service_file::ServiceFile,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,6 +13,7 @@
         pool::Pool,
         relays::RelayedResponse,
         requests::ActiveRequest,
+        rollouts::RolloutBook,
         shutdown::Shutdown,
         signals::Signals,
         timers::Timers,
@@ -97,6 +98,8 @@
     pub(crate) settings: Settings,
     pub(crate) shutdown: Shutdown,
     signals: Signals,
+    /// What is known of workers' versions; `None` where no version is rolled out.
+    pub(crate) rollouts: Option<RolloutBook>,
     /// Whether this daemon is starting, ready or leaving.
     pub(crate) stage: Stage,
     /// The client of the platform's store.
@@ -185,6 +188,7 @@
             ),
             shutdown: Shutdown::default(),
             signals: Signals::register()?,
+            rollouts: settings.bounds.rollouts.map(RolloutBook::new),
             stage: Stage::Starting,
             store: StoreClient::new(own, now, fastrand::Rng::new()),
             store_calls: Map::default(),
@@ -193,6 +197,10 @@
             view: View::default(),
             settings,
         };
+        if daemon.rollouts.is_some() {
+            daemon.store.follow_rollouts();
+            daemon.dispatcher.table.hold_new_workers();
+        }
         daemon.log_start(now);
         Ok(daemon)
     }
--- a/crates/daemon/src/fetches.rs
+++ b/crates/daemon/src/fetches.rs
@@ -4,7 +4,7 @@
     crate::{conn::ConnKind, constants::FETCH_TIMEOUT, daemon::Daemon, log_event},
     peer::{FetchRequest, FrameCodec, PeerRequest},
     serde_json::json,
-    site::Change,
+    site::{Change, Topic},
     std::net::Ipv4Addr,
     unit::Time,
     wire::ConnectionEnd,
@@ -80,7 +80,10 @@
             }
             Ok(Some(PeerRequest::Fetch(request))) => {
                 server.answered = true;
-                let changes = self.view.changes_since(&request.revs);
+                let mut changes = self.view.changes_since(&request.revs);
+                // Earlier builds can't decode a change of rollouts. Daemons of this one read them
+                // from sections of heartbeats.
+                changes.retain(|change| change.topic != Topic::Rollouts);
                 match FrameCodec::encode(&changes) {
                     Ok(out) => {
                         // A failure is ignored here; the next read of the connection reports it.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 mod pool;
 mod relays;
 mod requests;
+mod rollouts;
 mod run;
 mod shutdown;
 mod signals;
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -47,6 +47,13 @@
     309 REQUEST_BARRED "request-barred";
     310 WORKERS_UNREACHED "workers-unreached";
     311 WORKERS_REACHED "workers-reached";
+    320 ROLLOUT_BEGUN "rollout-begun";
+    321 ROLLOUT_SHIFTING "rollout-shifting";
+    322 ROLLOUT_WRITING "rollout-writing";
+    323 ROLLOUT_DECIDED "rollout-decided";
+    324 ROLLOUT_HALTED "rollout-halted";
+    325 ROLLOUT_REMOVED "rollout-removed";
+    326 ROLLOUT_PROBLEM "rollout-problem";
     400 SENT "sent";
     401 ANSWERED "answered";
     402 PASSED "passed";
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -4,7 +4,7 @@
     crate::{daemon::Daemon, log_event},
     peer::{
         CoarseAge, Datagram, Format, Heartbeat, LIMITS_ONE_IN, LimitEntry, MAX_CRASHES, MAX_LIMITS,
-        MAX_UNREACHED, News, OwnState, RosterAction, Stage, Watch,
+        MAX_UNREACHED, News, OwnState, RosterAction, Section, Stage, Watch,
     },
     pick::LimitNews,
     poison::CrashNews,
@@ -48,9 +48,11 @@
         let own = self.own_state();
         let mut actions = self.roster.tick(now, &own);
         self.ticks += 1;
+        self.rollouts_tick(now);
         self.add_news(now, &mut actions);
         self.run_roster_actions(now, actions);
         self.update_store_role(now);
+        self.check_ready(now);
         self.log_peer_changes(now);
         if self.roster.is_isolated(now) {
             // The other daemons may treat this daemon as gone and divide its shares of the limits of
@@ -176,7 +178,8 @@
         let revs = self.view.revs();
         let synced = self.config.is_some()
             && revs.workers > Rev::default()
-            && revs.evacuations > Rev::default();
+            && revs.evacuations > Rev::default()
+            && self.knows_versions();
         if synced && self.stage == Stage::Starting {
             self.stage = Stage::Ready;
             let fields = json!({"config": self.config.as_ref().map(|config| config.version)});
@@ -193,8 +196,16 @@
     }
 
     fn send_heartbeat(&mut self, now: Time, ip: Ipv4Addr, heartbeat: &Heartbeat) {
-        let format = self.roster.format_of(ip);
-        let bytes = match Datagram::encode_heartbeat(format, heartbeat, &[]) {
+        let mut format = self.roster.format_of(ip);
+        if self.rollouts.is_some() && self.ticks.is_multiple_of(LIMITS_ONE_IN) {
+            // Lets members show that they read this form, until formats are negotiated.
+            format = Format::Extended;
+        }
+        let sections: Vec<Section> = match format {
+            Format::Extended => self.rollout_section(now).into_iter().collect(),
+            Format::Legacy => Vec::new(),
+        };
+        let bytes = match Datagram::encode_heartbeat(format, heartbeat, &sections) {
             Ok(bytes) => bytes,
             Err(error) => {
                 let fields = json!({"reason": error.to_string()});
@@ -209,10 +220,12 @@
     }
 
     fn handle_heartbeat_datagram(&mut self, now: Time, bytes: &[u8], from: SocketAddr) {
-        let (format, heartbeat) = match Datagram::decode(bytes) {
+        let (format, heartbeat, sections) = match Datagram::decode(bytes) {
             Ok(Datagram::Heartbeat {
-                format, heartbeat, ..
-            }) => (format, heartbeat),
+                format,
+                heartbeat,
+                sections,
+            }) => (format, heartbeat, sections),
             Ok(Datagram::Quota(_) | Datagram::Unknown) => return,
             Err(error) => {
                 let fields = json!({"peer": from.to_string(), "reason": error.to_string()});
@@ -234,6 +247,7 @@
             self.roster.record_extended(&heartbeat.name);
         }
         self.run_roster_actions(now, actions);
+        self.adopt_rollouts(now, &sections, &heartbeat.ip.to_string());
         let news = heartbeat.news.unwrap_or_default();
         self.dispatcher
             .helpers
--- a/crates/daemon/src/site_changes.rs
+++ b/crates/daemon/src/site_changes.rs
@@ -24,6 +24,9 @@
         if topic == Topic::Workers {
             self.prune_pools();
         }
+        if matches!(topic, Topic::Rollouts | Topic::Workers) {
+            self.update_lanes(now);
+        }
         if self.view.revs().ahead(&old_revs) {
             let own = self.own_state();
             let actions = self.roster.announce(now, &own);
@@ -72,6 +75,7 @@
                 let fields = json!({"centre": centre, "rev": rev, "source": source});
                 self.log_event(now, event, fields);
             }
+            Effect::Rollouts => self.sync_rollouts(now),
             Effect::Worker(worker) => {
                 let fields = json!({
                     "worker": worker.id,
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -16,6 +16,7 @@
 mod floods;
 mod notices;
 mod restores;
+mod rollouts;
 mod stops;
 mod store;
 mod support;
--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -105,6 +105,11 @@
         &self.members
     }
 
+    /// The random number that tells this process run of the daemon from earlier ones.
+    pub const fn incarnation(&self) -> u32 {
+        self.incarnation
+    }
+
     /// Which messages the member at an address reads.
     pub fn format_of(&self, ip: Ipv4Addr) -> Format {
         let member = self.members.values().find(|member| member.ip == ip);
--- a/crates/pick/src/selection.rs
+++ b/crates/pick/src/selection.rs
@@ -3,6 +3,7 @@
 use {
     crate::{Standing, WorkerKey, WorkerRecord, WorkerTable},
     fastrand::Rng,
+    rollout::Lane,
     std::{cmp::Ordering, collections::BinaryHeap},
     unit::{Span, Time},
 };
@@ -22,6 +23,8 @@
 /// What a request requires of a worker.
 #[derive(Clone, Debug)]
 pub struct Criteria<'a> {
+    /// Whether it is one that goes to the target version of a rollout.
+    pub canary: bool,
     /// Whether to leave out workers that were found slow or full just now.
     pub skip_busy: bool,
     /// Workers that must not be selected again.
@@ -100,7 +103,14 @@
             .filter_map(|key| {
                 let record = self.records.get(key)?;
                 let standing = self.standing(*key, now);
-                let open = standing != Standing::Barred && self.is_open(record, now);
+                let lane = if criteria.canary {
+                    Lane::Canary
+                } else {
+                    Lane::Open
+                };
+                let open = standing != Standing::Barred
+                    && record.lane == lane
+                    && self.is_open(record, now);
                 open.then_some((*key, standing, record))
             })
             .collect();
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -4,6 +4,7 @@
         named_limit::NamedLimit,
     },
     limit::{ColdStartBudget, Placement, ProbeBudget, RequestBudget},
+    rollout::Lane,
     site::{HealthReport, LoadReport, Notice, Worker, WorkerState},
     unit::{Rate, Span, Time},
 };
@@ -45,8 +46,8 @@
     Suspect,
     /// It is draining or its entry is gone; it is used only where no other worker is left.
     Leaving,
-    /// It must not be sent any requests: its data centre is evacuated, or the time for which it may
-    /// be used while leaving is over.
+    /// It must not be sent any requests: its data centre is evacuated, its version gets none, or the
+    /// time for which it may be used while leaving is over.
     Barred,
 }
 
@@ -68,6 +69,8 @@
     pub(crate) removed: bool,
     /// Requests of this daemon in flight at the worker.
     pub(crate) in_flight: u32,
+    /// Which requests it may get, by its version.
+    pub(crate) lane: Lane,
     /// Until when it may be used although it is leaving; `None` if it is not leaving.
     pub(crate) leaving_until: Option<Time>,
     /// Its last reported load, with `running` adjusted for what this daemon sent since, and when
@@ -113,6 +116,7 @@
             penalty_at: now,
             removed: false,
             in_flight: 0,
+            lane: Lane::Open,
             leaving_until: None,
             load: None,
             named_limit: NamedLimit::default(),
@@ -144,9 +148,14 @@
         self.worker = worker;
     }
 
+    /// Which requests it may get, by its version.
+    pub const fn lane(&self) -> Lane {
+        self.lane
+    }
+
     /// Whether it may be used; `evacuated` says whether its data centre is evacuated.
     pub fn standing(&self, now: Time, evacuated: bool) -> Standing {
-        if evacuated {
+        if evacuated || self.lane == Lane::Held {
             return Standing::Barred;
         }
         match self.leaving_until {
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -4,6 +4,7 @@
     },
     fastrand::Rng,
     limit::LOCAL_FRACTION,
+    rollout::Lane,
     site::{Departure, HealthReport, LoadReport, Notice, Service, Worker, WorkerState},
     std::cell::Cell,
     unit::{Map, Name, Set, Span, Time},
@@ -38,6 +39,8 @@
     evacuated: Set<Name>,
     /// How many workers were looked at to select one.
     examined: Cell<u64>,
+    /// Which requests a worker may get before its version was judged.
+    first_lane: Lane,
     /// The current key of each worker id.
     ids: Map<Name, WorkerKey>,
     /// What process runs of workers whose records were dropped had asked, by id and start time. It
@@ -61,6 +64,7 @@
             shares_from: None,
             evacuated: Set::default(),
             examined: Cell::new(0),
+            first_lane: Lane::Open,
             ids: Map::default(),
             asked: Map::default(),
             next_key: 0,
@@ -93,6 +97,7 @@
         let draining = worker.state == WorkerState::Draining;
         let run = (worker.id.clone(), worker.started_ms);
         let mut record = WorkerRecord::new(worker, now);
+        record.lane = self.first_lane;
         if let Some(asked) = self.asked.get(&run) {
             record.said_leaving = asked.leaving;
             record.retry_at = asked.retry_at;
@@ -143,6 +148,26 @@
         }
     }
 
+    /// Holds new workers back until [`Self::set_lanes`] has judged their versions.
+    pub const fn hold_new_workers(&mut self) {
+        self.first_lane = Lane::Held;
+    }
+
+    /// Sets which requests each worker may get.
+    pub fn set_lanes(&mut self, mut lane: impl FnMut(&Worker) -> Lane) {
+        for record in self.records.values_mut() {
+            record.lane = lane(&record.worker);
+        }
+    }
+
+    /// This daemon's requests in flight at the workers of a service whose versions are chosen.
+    pub fn in_flight(&self, service: &str, mut chosen: impl FnMut(&Name) -> bool) -> u32 {
+        let records = self.records.values();
+        let chosen = records
+            .filter(|record| &*record.worker.service == service && chosen(&record.worker.version));
+        chosen.map(|record| record.in_flight).sum()
+    }
+
     /// Replaces the other registered daemons, each with its data centre.
     pub fn set_members<'a>(
         &mut self,
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -66,6 +66,7 @@
     let mut names = Vec::new();
     loop {
         let criteria = Criteria {
+            canary: false,
             skip_busy: false,
             excluded: &excluded,
             service: "s",
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -24,7 +24,7 @@
     fleet_reports::FleetReports,
     lane::Lane,
     params::Params,
-    report::{Report, RolloutNews},
+    report::{Listing, Report, RolloutNews, RolloutSection},
     rollout::{Conditions, Order, Phase, Rollout, hash},
     timetable::Timetable,
     verdict::{Finding, Pending, Symptom, Verdict},
--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -3,6 +3,8 @@
 use {
     crate::Evidence,
     serde::{Deserialize, Serialize},
+    site::{Rev, Rollout, Versioned},
+    unit::Name,
 };
 
 /// One daemon's own counts of a rollout, from its start on.
@@ -35,3 +37,25 @@
     /// The time since the traffic began to shift, in milliseconds; `None` before that.
     pub shifting_ms: Option<u32>,
 }
+
+/// The rollouts that a daemon knows, for those that can't read them from the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The established versions, each with its service.
+    pub established: Vec<(Name, Name)>,
+    /// All rollouts.
+    pub rollouts: Vec<Versioned<Rollout>>,
+}
+
+/// The section of a heartbeat about rollouts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RolloutSection {
+    /// The revision up to which the sender knows all changes of rollouts.
+    pub known: Rev,
+    /// The rollouts; not in each heartbeat.
+    pub listing: Option<Listing>,
+    /// What the sender tells of the rollouts in progress.
+    pub news: Vec<RolloutNews>,
+    /// The revision of the last change of the rollouts.
+    pub rev: Rev,
+}
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -201,14 +201,14 @@
         self.exposure.record_exposed();
     }
 
-    /// Whether a request is to go to the target version.
+    /// Whether a request is one of those chosen for the target version. Once all requests go to it,
+    /// none is chosen.
     pub fn draw(&self, now: Time, rng: &mut Rng) -> bool {
         match self.phase() {
-            Phase::Completed => true,
-            Phase::RolledBack => false,
+            Phase::Completed | Phase::RolledBack => false,
             _ if self.is_halted(now) => false,
             Phase::Exposing => self.in_time(now) && self.exposure.draw(rng),
-            Phase::Shifting => rng.f64() < self.fraction(now),
+            Phase::Shifting => !self.is_shifted(now) && rng.f64() < self.fraction(now),
         }
     }
 
--- a/crates/site/src/change.rs
+++ b/crates/site/src/change.rs
@@ -1,7 +1,7 @@
 //! Changes to the site, as the store and other daemons report them.
 
 use {
-    crate::{Config, Departure, Rev, Versioned, Worker},
+    crate::{Config, Departure, Rev, Rollout, Versioned, Worker},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
     unit::Name,
@@ -16,11 +16,20 @@
     Evacuations,
     /// The workers' entries.
     Workers,
+    /// The rollouts of services' versions, which only some deployments have.
+    Rollouts,
 }
 
 impl Topic {
-    /// All topics.
+    /// The topics that every deployment has.
     pub const ALL: [Self; 3] = [Self::Config, Self::Evacuations, Self::Workers];
+    /// These and the ones that only some deployments have.
+    pub const WITH_OPTIONAL: [Self; 4] = [
+        Self::Config,
+        Self::Evacuations,
+        Self::Workers,
+        Self::Rollouts,
+    ];
 }
 
 /// The current state of one object in the store.
@@ -36,6 +45,10 @@
     Worker(Worker),
     /// The entry of the worker with this id was removed, or is no longer readable.
     WorkerRemoved(Name, Departure),
+    /// A rollout.
+    Rollout(Rollout),
+    /// The rollout object of this name was removed.
+    RolloutRemoved(Name),
 }
 
 /// A set of updates to one topic: all its objects, or those changed since some revision.
--- a/crates/site/src/revs.rs
+++ b/crates/site/src/revs.rs
@@ -43,6 +43,10 @@
     pub evacuations: Rev,
     /// The revision of the workers' entries.
     pub workers: Rev,
+    /// The revision of the rollouts. Left out of messages, whose form earlier builds know; daemons
+    /// tell each other of rollouts in sections of heartbeats.
+    #[serde(skip)]
+    pub rollouts: Rev,
 }
 
 impl Revs {
@@ -52,6 +56,7 @@
             Topic::Config => self.config,
             Topic::Evacuations => self.evacuations,
             Topic::Workers => self.workers,
+            Topic::Rollouts => self.rollouts,
         }
     }
 
@@ -61,19 +66,20 @@
             Topic::Config => &mut self.config,
             Topic::Evacuations => &mut self.evacuations,
             Topic::Workers => &mut self.workers,
+            Topic::Rollouts => &mut self.rollouts,
         };
         *known = rev.max(*known);
     }
 
     /// The latest era of any topic.
     pub fn era(&self) -> Era {
-        let eras = Topic::ALL.iter().map(|topic| self.of(*topic).era);
+        let eras = Topic::WITH_OPTIONAL.iter().map(|topic| self.of(*topic).era);
         eras.max().unwrap_or_default()
     }
 
     /// Whether the revision of any topic is higher than in `other`.
     pub fn ahead(&self, other: &Self) -> bool {
-        Topic::ALL
+        Topic::WITH_OPTIONAL
             .iter()
             .any(|topic| self.of(*topic) > other.of(*topic))
     }
--- a/crates/site/src/view.rs
+++ b/crates/site/src/view.rs
@@ -3,8 +3,8 @@
 
 use {
     crate::{
-        Change, Config, DepartedWorker, Departure, ObjectState, Rev, Revs, Topic, Versioned,
-        Worker, WorkerState,
+        Change, Config, DepartedWorker, Departure, ObjectState, Rev, Revs, Rollout, Topic,
+        Versioned, Worker, WorkerState,
     },
     copies::{Unsettled, UnsettledWorker},
     std::{collections::hash_map::Entry, sync::Arc},
@@ -22,6 +22,8 @@
     Config(u64),
     /// The evacuation of a data centre began (`true`) or ended (`false`).
     Evacuation(Name, bool),
+    /// A rollout was added, changed or removed.
+    Rollouts,
     /// A worker's entry was added or updated.
     Worker(Worker),
     /// A worker's entry was removed.
@@ -59,6 +61,8 @@
     /// The data centres whose evacuation ended, each with the revision of that end.
     returned: Map<Name, Rev>,
     revs: Revs,
+    /// The rollouts, by the names of their objects.
+    rollouts: Map<Name, Versioned<Rollout>>,
     /// The removals of workers, by id.
     tombstones: Map<Name, Tombstone>,
     /// The data centres about which an older copy of the store contradicts what is known.
@@ -85,6 +89,16 @@
         self.workers.values().map(|versioned| &versioned.value)
     }
 
+    /// The workers that have an entry, each with the revision of that.
+    pub fn worker_entries(&self) -> impl Iterator<Item = &Versioned<Worker>> {
+        self.workers.values()
+    }
+
+    /// The rollouts, each with the revision of its last change.
+    pub fn rollouts(&self) -> impl Iterator<Item = &Versioned<Rollout>> {
+        self.rollouts.values()
+    }
+
     /// Whether a data centre is evacuated and gets no new requests.
     pub fn is_evacuated(&self, centre: &str) -> bool {
         self.evacuated.contains_key(centre)
@@ -106,7 +120,10 @@
             self.remove_absent(&change, now, &mut effects);
         }
         for item in change.items {
-            if !(change.full && self.holds_against(&item, now)) {
+            // What is known of rollouts is complete up to its revision, removals included.
+            let outdated =
+                change.topic == Topic::Rollouts && !change.full && item.rev <= self.revs.rollouts;
+            if !(outdated || change.full && self.holds_against(&item, now)) {
                 self.apply_item(item, now, &mut effects);
             }
         }
@@ -135,6 +152,18 @@
                     }
                 }
             }
+            Topic::Rollouts => {
+                let listed = |item: &Versioned<ObjectState>| match &item.value {
+                    ObjectState::Rollout(rollout) => Some(rollout.name.clone()),
+                    _ => None,
+                };
+                let listed: Set<Name> = change.items.iter().filter_map(listed).collect();
+                let before = self.rollouts.len();
+                self.rollouts.retain(|name, _| listed.contains(name));
+                if self.rollouts.len() < before {
+                    effects.push(Effect::Rollouts);
+                }
+            }
             Topic::Workers => {
                 let listed = |item: &Versioned<ObjectState>| match &item.value {
                     ObjectState::Worker(worker) => Some(worker.id.clone()),
@@ -170,6 +199,20 @@
                 self.drop_unsettled_worker(&id, rev);
                 self.remove_worker(id, departure, rev, now, effects)
             }
+            ObjectState::Rollout(rollout) => {
+                let known = self.rollouts.get(&rollout.name);
+                if known.is_none_or(|known| known.rev < rev) {
+                    let value = rollout;
+                    self.rollouts
+                        .insert(value.name.clone(), Versioned { rev, value });
+                    effects.push(Effect::Rollouts);
+                }
+            }
+            ObjectState::RolloutRemoved(name) => {
+                if self.rollouts.remove(&name).is_some() {
+                    effects.push(Effect::Rollouts);
+                }
+            }
         }
     }
 
--- a/crates/site/src/view/missing.rs
+++ b/crates/site/src/view/missing.rs
@@ -10,7 +10,7 @@
 impl View {
     /// The changes that a peer lacks if it knows the topics up to `known`.
     pub fn changes_since(&self, known: &Revs) -> Vec<Change> {
-        Topic::ALL
+        Topic::WITH_OPTIONAL
             .iter()
             .filter(|topic| self.revs.of(**topic) > known.of(**topic))
             .map(|topic| self.change_since(*topic, known.of(*topic)))
@@ -21,7 +21,8 @@
     /// topic, the tombstone of a later removal may have been dropped, or the peer has yet to compare
     /// what it knows with the store's copy.
     fn change_since(&self, topic: Topic, known: Rev) -> Change {
-        let full = known < self.compacted
+        let full = topic == Topic::Rollouts
+            || known < self.compacted
             || known == Rev::default()
             || known.era < self.revs.of(topic).era;
         let after = if full { Rev::default() } else { known };
@@ -34,6 +35,7 @@
                 Topic::Config => self.config_items(after),
                 Topic::Evacuations => self.evacuation_items(after, full),
                 Topic::Workers => self.worker_items(after, full),
+                Topic::Rollouts => self.rollout_items(),
             },
             rev: self.revs.of(topic),
             topic,
@@ -50,6 +52,17 @@
             .collect()
     }
 
+    /// All rollouts; there are few.
+    fn rollout_items(&self) -> Vec<Versioned<ObjectState>> {
+        let rollouts = self.rollouts.values();
+        rollouts
+            .map(|rollout| Versioned {
+                rev: rollout.rev,
+                value: ObjectState::Rollout(rollout.value.clone()),
+            })
+            .collect()
+    }
+
     fn evacuation_items(&self, after: Rev, full: bool) -> Vec<Versioned<ObjectState>> {
         let unsettled = |name: &Name| full && self.unsettled.contains_key(name);
         let evacuated = self.evacuated.iter().filter(|(name, _)| !unsettled(name));
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -13,8 +13,9 @@
         settings::settings,
         store::Store,
         upstream::Upstream,
+        worker_fault::WorkerFault,
     },
-    conf::Settings,
+    conf::{RolloutBounds, Settings},
     nix::sys::signal::Signal,
     platform::{SETTINGS_VARIABLE, standin::encode_settings},
     std::{
@@ -47,6 +48,8 @@
     pub program: PathBuf,
     /// Whether daemons reach the store and the workers through proxies, which can inject faults.
     pub proxied: bool,
+    /// The limits on rollouts in the daemons' settings; `None` where there are none.
+    pub rollouts: Option<RolloutBounds>,
     /// The time that a worker takes to execute a request.
     pub work_time: Duration,
     /// The data centre of each worker.
@@ -60,6 +63,7 @@
             daemon_centres: vec!["a", "a", "b", "b"],
             program: program.to_owned(),
             proxied: false,
+            rollouts: None,
             work_time: Duration::from_millis(20),
             worker_centres: vec!["a", "a", "b", "b"],
         }
@@ -154,6 +158,26 @@
         Ok(())
     }
 
+    /// Starts a worker of a version, with a fault, and writes its entry to the store.
+    ///
+    /// # Errors
+    /// Fails if no port can be bound for the worker.
+    pub fn add_version(
+        &mut self,
+        id: &str,
+        centre: &str,
+        version: &str,
+        work_time: Duration,
+        fault: WorkerFault,
+    ) -> Result<(), StandinError> {
+        let mut worker = Upstream::start(id, SERVICE, centre, work_time, &self.executions)?;
+        worker.entry.version = version.into();
+        worker.set_fault(fault);
+        self.store.put_worker(&worker.entry);
+        self.workers.push(worker);
+        Ok(())
+    }
+
     /// Returns the address on which a daemon accepts callers' requests.
     pub fn address(&self, index: usize) -> SocketAddrV4 {
         self.daemons[index].settings.listen.callers
@@ -314,7 +338,8 @@
                 store = proxy.address;
                 self.store_proxies.push(proxy);
             }
-            let settings = settings(&name, centre, ip(at), base, store, ip(0));
+            let mut settings = settings(&name, centre, ip(at), base, store, ip(0));
+            settings.bounds.rollouts = plan.rollouts;
             let settings_file = self.folder.join(format!("{name}.toml"));
             let text = encode_settings(&settings).map_err(io::Error::other)?;
             fs::write(&settings_file, text)?;
--- a/crates/standin/src/fuzz/target.rs
+++ b/crates/standin/src/fuzz/target.rs
@@ -250,11 +250,15 @@
 fn store_bodies() -> Vec<Vec<u8>> {
     let objects = [
         StoredObject {
+            created: Rev::default(),
+            status: serde_json::Value::Null,
             name: "w-0".into(),
             rev: Rev::default(),
             spec: worker_spec(&worker()),
         },
         StoredObject {
+            created: Rev::default(),
+            status: serde_json::Value::Null,
             name: "main".into(),
             rev: Rev::default(),
             spec: encode_config(&config(1), None),
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -43,6 +43,7 @@
             retry_extra: 56.0,
             retry_ratio: 0.2,
             retry_window: Span::secs(10),
+            rollouts: None,
         },
         centre: centre.into(),
         max_fds: 4_100,
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -6,11 +6,11 @@
 use {
     crate::server::{Reply, Server, endless_body},
     platform::standin::{
-        ReceivedCall, config_key, evacuation_kind, events_response, read_store_call, set_era,
-        worker_kind, worker_spec,
+        ReceivedCall, config_key, evacuation_kind, events_response, read_store_call, rollout_kind,
+        rollout_spec, set_era, worker_kind, worker_spec,
     },
     serde_json::Value,
-    site::{Config, Rev, Worker},
+    site::{Config, Rev, Rollout, Worker},
     state::{OwnWrite, State},
     std::{
         io,
@@ -90,6 +90,19 @@
         self.put(worker_kind(), &worker.id, worker_spec(worker));
     }
 
+    /// Writes a rollout's object.
+    pub fn put_rollout(&self, rollout: &Rollout) {
+        self.put(rollout_kind(), &rollout.name, rollout_spec(rollout));
+    }
+
+    /// The status of a rollout's object; null if there is none.
+    pub fn rollout_status(&self, name: &str) -> Value {
+        let key = (rollout_kind().to_owned(), name.into());
+        let state = self.shared.lock();
+        let object = state.objects.get(&key);
+        object.map_or(Value::Null, |object| object.status.clone())
+    }
+
     /// Removes a worker's entry.
     pub fn remove_worker(&self, id: &str) {
         self.remove(worker_kind(), id);
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -120,6 +120,14 @@
             } => self.conditional(&kind, &name, rev, |state| {
                 object_response(200, &state.put(&kind, name.clone(), spec))
             }),
+            ReceivedCall::ReplaceStatus {
+                kind,
+                name,
+                rev,
+                status,
+            } => self.conditional(&kind, &name, rev, |state| {
+                state.put_status(&kind, &name, status)
+            }),
             ReceivedCall::Watch { .. } => Response::new(400),
         }
     }
@@ -161,17 +169,39 @@
             return unchanged.clone();
         }
         self.rev.number += 1;
+        let known = self.objects.get(&key);
         let object = StoredObject {
+            created: known.map_or(self.rev, |known| known.created),
             name,
             rev: self.rev,
             spec,
+            status: known.map_or(Value::Null, |known| known.status.clone()),
         };
-        self.objects.insert(key, object.clone());
+        self.replace(key, object)
+    }
+
+    /// Writes the status of an object that exists under a new revision.
+    fn put_status(&mut self, kind: &str, name: &Name, status: Value) -> Response {
+        let key = (kind.to_owned(), name.clone());
+        let Some(known) = self.objects.get(&key).cloned() else {
+            return Response::new(404);
+        };
+        self.rev.number += 1;
+        let object = StoredObject {
+            rev: self.rev,
+            status,
+            ..known
+        };
+        object_response(200, &self.replace(key, object))
+    }
+
+    fn replace(&mut self, key: (String, Name), object: StoredObject) -> StoredObject {
         self.history.push(ObjectEvent {
             deleted: false,
-            kind: kind.to_owned(),
+            kind: key.0.clone(),
             object: object.clone(),
         });
+        self.objects.insert(key, object.clone());
         object
     }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,7 +6,7 @@
     },
     fastrand::Rng,
     platform::{MemberEntry, StoreCall, StoreReply},
-    site::{Departure, Era, Rev, Revs, Topic},
+    site::{Departure, Era, Rev, Revs, Rollout, RolloutState, Topic, Versioned},
     unit::{Span, Time},
 };
 
@@ -49,8 +49,8 @@
     /// When the store last failed or refused a call; `None` once a later call has succeeded, or the
     /// role has changed when the failure was no longer recent.
     pub(crate) failing_at: Option<Time>,
-    /// One per topic, in the order of [`Topic::ALL`].
-    pub(crate) topics: [TopicSync; 3],
+    /// One for each topic that is watched.
+    pub(crate) topics: Vec<TopicSync>,
     /// The store's latest known era; `None` before its first response.
     pub(crate) era: Option<Era>,
     pub(crate) next_call: u64,
@@ -70,7 +70,7 @@
         Self {
             actions: Vec::new(),
             failing_at: None,
-            topics: Topic::ALL.map(TopicSync::new),
+            topics: Topic::ALL.map(TopicSync::new).into(),
             era: None,
             next_call: 0,
             probe: Probe::Due(now),
@@ -82,6 +82,48 @@
         }
     }
 
+    /// Watches the rollouts too, from the next change of the role on.
+    pub fn follow_rollouts(&mut self) {
+        self.topics.push(TopicSync::new(Topic::Rollouts));
+    }
+
+    /// The revision up to which this daemon's own watch has delivered every change of a topic.
+    pub fn watched_rev(&self, topic: Topic) -> Rev {
+        let sync = self.topics.iter().find(|sync| sync.topic == topic);
+        sync.map_or(Rev::default(), |sync| sync.watched_rev)
+    }
+
+    /// Asks the store at once for the present revision of a topic. A watch that finds no change
+    /// tells it only after its wait.
+    pub fn refresh(&mut self, topic: Topic, now: Time) -> Vec<StoreAction> {
+        if let Some(sync) = self.topics.iter_mut().find(|sync| sync.topic == topic)
+            && let SyncPhase::Watching { call, .. } = sync.phase
+            && !sync.immediate
+        {
+            sync.immediate = true;
+            sync.phase = SyncPhase::Due(now);
+            self.actions.push(StoreAction::Cancel(call));
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Writes the state of a rollout whose object has the revision `rev`. Whether that succeeded
+    /// shows in the topic.
+    pub fn write_rollout(
+        &mut self,
+        rollout: &Versioned<Rollout>,
+        state: RolloutState,
+    ) -> Vec<StoreAction> {
+        let call = StoreCall::PutRolloutState {
+            name: rollout.value.name.clone(),
+            rev: rollout.rev,
+            state,
+            target: rollout.value.target.clone(),
+        };
+        self.send_call(call, CALL_TIMEOUT);
+        std::mem::take(&mut self.actions)
+    }
+
     /// Whether a call failed or was refused and none has succeeded since. For a follower, only a
     /// recent failure counts, as it makes few calls that could show a recovery.
     pub fn failing(&self, now: Time) -> bool {
@@ -153,8 +195,10 @@
     /// Notes that a peer knows a newer revision of a topic than this daemon did. If the pending
     /// watch doesn't complete soon, it is cancelled and started again.
     pub fn peer_ahead(&mut self, topic: Topic, now: Time) {
-        let sync = &mut self.topics[topic_index(topic)];
-        if let SyncPhase::Watching { behind_since, .. } = &mut sync.phase {
+        let sync = self.topics.iter_mut().find(|sync| sync.topic == topic);
+        if let Some(sync) = sync
+            && let SyncPhase::Watching { behind_since, .. } = &mut sync.phase
+        {
             behind_since.get_or_insert(now);
         }
     }
@@ -324,12 +368,3 @@
         }
     }
 }
-
-/// The position of a topic in [`Topic::ALL`].
-fn topic_index(topic: Topic) -> usize {
-    match topic {
-        Topic::Config => 0,
-        Topic::Evacuations => 1,
-        Topic::Workers => 2,
-    }
-}
--- a/crates/store/src/topic_sync.rs
+++ b/crates/store/src/topic_sync.rs
@@ -36,6 +36,8 @@
     pub(crate) backoff: Backoff,
     /// Whether the topic was current as of the last call's result.
     pub(crate) current: bool,
+    /// Whether the next watch is to return at once.
+    pub(crate) immediate: bool,
     pub(crate) phase: SyncPhase,
     /// The revision up to which this daemon's own watch has delivered every change. It may be newer
     /// than the revision that peers are told, which is that of the last change.
@@ -48,6 +50,7 @@
         Self {
             backoff: Backoff::default(),
             current: false,
+            immediate: false,
             phase: SyncPhase::Inactive,
             watched_rev: Rev::default(),
             topic,
--- a/crates/store/src/topics.rs
+++ b/crates/store/src/topics.rs
@@ -33,11 +33,12 @@
             self.list_topic(index);
             return;
         }
-        let watch = StoreCall::Watch {
-            from,
-            topic,
-            wait: WATCH_WAIT,
+        let wait = if std::mem::take(&mut self.topics[index].immediate) {
+            Span::ZERO
+        } else {
+            WATCH_WAIT
         };
+        let watch = StoreCall::Watch { from, topic, wait };
         let call = self.send_call(watch, WATCH_WAIT + WATCH_SLACK);
         self.topics[index].phase = SyncPhase::Watching {
             call,
