Rollouts: objects that can't be read, verdicts that the store lost, restarts after a completed rollout

Cause: an unreadable object looked removed, so its version would have been used; a store that came back from an older copy would have begun a decided rollout anew; a restarted daemon didn't know which versions a completed one replaced.

--- a/crates/call/tests/dispatcher/main.rs
+++ b/crates/call/tests/dispatcher/main.rs
@@ -16,4 +16,5 @@
 mod overload;
 mod pauses;
 mod random;
+mod rollouts;
 mod selection;
--- a/crates/daemon/src/rollouts.rs
+++ b/crates/daemon/src/rollouts.rs
@@ -10,7 +10,7 @@
         Versions, hash,
     },
     serde_json::{Value, json},
-    site::{Change, Departure, ObjectState, Rev, RolloutState, Topic, Versioned, Worker},
+    site::{Change, Departure, Rev, RolloutState, Topic, Versioned, Worker},
     std::sync::Arc,
     store::Role,
     unit::{Map, Name, Set, Time},
@@ -142,7 +142,7 @@
             established: established
                 .map(|(service, version)| (service.clone(), version.clone()))
                 .collect(),
-            rollouts: self.view.rollouts().cloned().collect(),
+            items: self.view.rollout_items(),
         });
         let running = self.dispatcher.rollouts.values_mut();
         let running = running.filter(|rollout| !rollout.object().is_decided());
@@ -196,14 +196,10 @@
 
     fn adopt_listing(&mut self, now: Time, listing: Listing, rev: Rev, source: &str) {
         if rev > self.view.revs().rollouts {
-            let items = listing.rollouts.into_iter().map(|versioned| Versioned {
-                rev: versioned.rev,
-                value: ObjectState::Rollout(versioned.value),
-            });
             let change = Change {
                 absent_departure: Departure::Lapsed,
                 full: true,
-                items: items.collect(),
+                items: listing.items,
                 rev,
                 topic: Topic::Rollouts,
             };
@@ -256,7 +252,8 @@
         }
         let fields = rollout_json(rollout, now);
         if rollout.phase() == Phase::Completed {
-            let present = present_versions(&self.dispatcher.table, &service);
+            let started = self.stage != Stage::Starting;
+            let present = started.then(|| present_versions(&self.dispatcher.table, &service));
             if let Some(book) = &mut self.rollouts {
                 book.versions.complete(now, rollout, present);
             }
@@ -280,8 +277,19 @@
         let Some(book) = &mut self.rollouts else {
             return;
         };
-        for entry in self.view.worker_entries() {
+        let unreadable: Set<Name> = self.view.unreadable_rollouts().cloned().collect();
+        let mut entries: Vec<&Versioned<Worker>> = self.view.worker_entries().collect();
+        if !unreadable.is_empty() {
+            // The workers that have run longest show what was in use before.
+            entries.sort_by_key(|entry| entry.value.started_ms);
+        }
+        for entry in entries {
             let worker = &entry.value;
+            // Which version an object is about that can't be read isn't known, so new ones wait.
+            let unclear = unreadable.contains(&worker.service);
+            if unclear && !book.versions.is_empty(&worker.service) {
+                continue;
+            }
             book.versions
                 .record_entry(&worker.service, &worker.version, entry.rev, book.known);
         }
--- a/crates/peer/tests/fleet/messages.rs
+++ b/crates/peer/tests/fleet/messages.rs
@@ -158,3 +158,12 @@
         watch: Watch::Off,
     }
 }
+
+#[test]
+fn the_revision_of_the_rollouts_does_not_change_the_legacy_form() {
+    // Guards against heartbeats that builds without rollouts refuse.
+    let mut later = heartbeat();
+    later.revs.rollouts = site::Rev::new(site::Era(1), 900);
+    let encoded = encode(&later).expect("encodable");
+    assert_eq!(encoded, encode(&heartbeat()).expect("encodable"));
+}
--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -3,7 +3,7 @@
 use {
     crate::Evidence,
     serde::{Deserialize, Serialize},
-    site::{Rev, Rollout, Versioned},
+    site::{ObjectState, Rev, Versioned},
     unit::Name,
 };
 
@@ -43,8 +43,8 @@
 pub struct Listing {
     /// The established versions, each with its service.
     pub established: Vec<(Name, Name)>,
-    /// All rollouts.
-    pub rollouts: Vec<Versioned<Rollout>>,
+    /// The states of all rollouts' objects.
+    pub items: Vec<Versioned<ObjectState>>,
 }
 
 /// The section of a heartbeat about rollouts.
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -77,6 +77,8 @@
     slow_bounds: Map<u32, SlowBound>,
     /// When the object was written, as far as is known.
     started: Time,
+    /// The state that the store has; a store that came back from an older copy may lack a verdict.
+    stored: Option<RolloutState>,
     sum: Evidence,
     timetable: Timetable,
     /// What the last report of this daemon said.
@@ -101,6 +103,7 @@
             shifting: None,
             slow_bounds: Map::default(),
             started: now,
+            stored: object.state,
             sum: Evidence::default(),
             timetable: Timetable::new(object.duration),
             told: None,
@@ -116,6 +119,7 @@
 
     /// Takes the object's present content, which is that of the same rollout. A verdict is final.
     pub fn update(&mut self, object: site::Rollout) {
+        self.stored = object.state;
         if !self.object.is_decided() {
             self.timetable = Timetable::new(object.duration);
             self.object = object;
@@ -302,7 +306,11 @@
     /// alive; `present` says whether there is a worker of the target version.
     pub fn decide(&mut self, now: Time, alive: &[u32], present: bool) -> Option<Order> {
         if self.object.is_decided() {
-            return None;
+            let verdict = self
+                .object
+                .state
+                .filter(|state| self.stored != Some(*state));
+            return verdict.and_then(|state| self.write(now, state, None));
         }
         if self.object.state.is_none() {
             return self.write(now, RolloutState::Running, None);
--- a/crates/rollout/src/versions.rs
+++ b/crates/rollout/src/versions.rs
@@ -10,13 +10,24 @@
 /// once, but their entries may stay for some time.
 const RETIREMENT: Span = Span::secs(30);
 
+/// The versions that a completed rollout replaced.
+#[derive(Clone, Debug)]
+struct Retired {
+    /// The target version.
+    target: Name,
+    /// Until when they are left out.
+    until: Time,
+    /// The versions; `None` for all but the target, where it isn't known which were there before.
+    versions: Option<Set<Name>>,
+}
+
 /// The versions of one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceVersions {
     /// The versions that no unknown rollout object can be about.
     established: Set<Name>,
-    /// The versions that a completed rollout replaced, and until when they are left out.
-    retired: Option<(Time, Set<Name>)>,
+    /// The versions that a completed rollout replaced.
+    retired: Option<Retired>,
     /// The target versions of rollouts whose objects were removed before they were completed, while
     /// there are workers of them.
     withdrawn: Set<Name>,
@@ -45,6 +56,12 @@
         }
     }
 
+    /// Whether no version of a service is established.
+    pub fn is_empty(&self, service: &Name) -> bool {
+        let versions = self.0.get(service);
+        versions.is_none_or(|versions| versions.established.is_empty())
+    }
+
     /// Whether a version is established.
     pub fn is_established(&self, service: &Name, version: &Name) -> bool {
         let versions = self.0.get(service);
@@ -60,13 +77,17 @@
         })
     }
 
-    /// Notes that a rollout was completed: `present` are the versions of the service's workers.
-    pub fn complete(&mut self, now: Time, rollout: &Rollout, present: Set<Name>) {
+    /// Notes that a rollout was completed: `present` are the versions of the service's workers;
+    /// `None` if this daemon has just started and doesn't know all workers yet.
+    pub fn complete(&mut self, now: Time, rollout: &Rollout, present: Option<Set<Name>>) {
         let target = &rollout.object().target;
         self.establish(rollout.service(), target);
         if let Some(versions) = self.0.get_mut(rollout.service()) {
-            let old = present.into_iter().filter(|version| version != target);
-            versions.retired = Some((now + RETIREMENT, old.collect()));
+            versions.retired = Some(Retired {
+                target: target.clone(),
+                until: now + RETIREMENT,
+                versions: present,
+            });
         }
     }
 
@@ -92,7 +113,13 @@
         versions
             .established
             .retain(|version| present.contains(version));
-        versions.retired.take_if(|(until, _)| now >= *until);
+        // Without workers of the target version it was replaced since.
+        let replaced = |retired: &Retired| {
+            retired.versions.is_none() && !present.is_empty() && !present.contains(&retired.target)
+        };
+        versions
+            .retired
+            .take_if(|retired| now >= retired.until || replaced(retired));
     }
 
     /// Which requests the workers of a version may get. `canary` says whether this worker is one of
@@ -122,7 +149,12 @@
             return Lane::Held;
         };
         let retired = versions.retired.as_ref();
-        let retired = retired.is_some_and(|(until, old)| now < *until && old.contains(version));
+        let retired = retired.is_some_and(|retired| {
+            let old = &retired.versions;
+            now < retired.until
+                && retired.target != *version
+                && old.as_ref().is_none_or(|old| old.contains(version))
+        });
         if retired || versions.withdrawn.contains(version) {
             return Lane::Held;
         }
--- a/crates/rollout/tests/fleet/lanes.rs
+++ b/crates/rollout/tests/fleet/lanes.rs
@@ -66,13 +66,31 @@
     versions.establish(&service(), &"v1".into());
     let done = rollout(RolloutState::Completed);
     let present: Set<Name> = ["v1", "v2"].map(Name::from).into_iter().collect();
-    versions.complete(NOW, &done, present);
+    versions.complete(NOW, &done, Some(present));
     assert_eq!(lane(&versions, "v1", Some(&done)), Lane::Held);
     assert_eq!(lane(&versions, "v2", Some(&done)), Lane::Open);
     versions.record_entry(&service(), &"v3".into(), rev(3), rev(3));
     assert_eq!(lane(&versions, "v3", Some(&done)), Lane::Open);
 }
 
+#[test]
+fn a_daemon_that_starts_after_a_completed_rollout_leaves_other_versions_out_while_the_target_is_there()
+ {
+    // Guards against a restarted daemon that finds the old workers' entries before they are removed.
+    let mut versions = Versions::default();
+    let done = rollout(RolloutState::Completed);
+    versions.complete(NOW, &done, None);
+    versions.establish(&service(), &"v1".into());
+    assert_eq!(lane(&versions, "v1", Some(&done)), Lane::Held);
+    let both: Set<Name> = ["v1", "v2"].map(Name::from).into_iter().collect();
+    versions.retain(NOW, &service(), &both);
+    assert_eq!(lane(&versions, "v1", Some(&done)), Lane::Held);
+    let later: Set<Name> = ["v3"].map(Name::from).into_iter().collect();
+    versions.retain(NOW, &service(), &later);
+    versions.establish(&service(), &"v3".into());
+    assert_eq!(lane(&versions, "v3", Some(&done)), Lane::Open);
+}
+
 #[test]
 fn the_target_of_a_rollout_whose_object_was_removed_gets_nothing() {
     // Guards against a bad version that is used like any other once its rollout is cancelled.
--- a/crates/rollout/tests/fleet/sums.rs
+++ b/crates/rollout/tests/fleet/sums.rs
@@ -89,6 +89,22 @@
     }
 }
 
+#[test]
+fn a_verdict_that_the_store_has_lost_is_written_again_and_holds_meanwhile() {
+    // Guards against a second verdict after the store came back from an older copy.
+    let mut rng = fastrand::Rng::with_seed(1);
+    let back = site::Rollout {
+        state: Some(RolloutState::RolledBack),
+        ..object(Span::secs(60))
+    };
+    let mut rollout = Rollout::new(back, PARAMS, Time::ZERO, &mut rng);
+    assert_eq!(rollout.decide(Time::ZERO, &[], true), None);
+    rollout.update(object(Span::secs(60)));
+    assert_eq!(rollout.phase(), rollout::Phase::RolledBack);
+    let order = rollout::Order::Write(RolloutState::RolledBack, None);
+    assert_eq!(rollout.decide(Time::ZERO, &[], true), Some(order));
+}
+
 #[test]
 fn a_report_counts_once_however_often_and_in_whatever_order_it_arrives() {
     // Guards against counts that grow with the number of daemons that pass them on.
--- a/crates/site/src/change.rs
+++ b/crates/site/src/change.rs
@@ -49,6 +49,8 @@
     Rollout(Rollout),
     /// The rollout object of this name was removed.
     RolloutRemoved(Name),
+    /// The rollout object of this name can't be decoded.
+    RolloutUnreadable(Name),
 }
 
 /// A set of updates to one topic: all its objects, or those changed since some revision.
--- a/crates/site/src/view.rs
+++ b/crates/site/src/view.rs
@@ -65,6 +65,8 @@
     rollouts: Map<Name, Versioned<Rollout>>,
     /// The removals of workers, by id.
     tombstones: Map<Name, Tombstone>,
+    /// The names of the rollout objects that can't be decoded, each with its revision.
+    unreadable: Map<Name, Rev>,
     /// The data centres about which an older copy of the store contradicts what is known.
     unsettled: Map<Name, Unsettled>,
     /// The workers that had left and are in an older copy of the store, by id.
@@ -99,6 +101,11 @@
         self.rollouts.values()
     }
 
+    /// The names of the rollout objects that can't be decoded.
+    pub fn unreadable_rollouts(&self) -> impl Iterator<Item = &Name> {
+        self.unreadable.keys()
+    }
+
     /// Whether a data centre is evacuated and gets no new requests.
     pub fn is_evacuated(&self, centre: &str) -> bool {
         self.evacuated.contains_key(centre)
@@ -155,11 +162,13 @@
             Topic::Rollouts => {
                 let listed = |item: &Versioned<ObjectState>| match &item.value {
                     ObjectState::Rollout(rollout) => Some(rollout.name.clone()),
+                    ObjectState::RolloutUnreadable(name) => Some(name.clone()),
                     _ => None,
                 };
                 let listed: Set<Name> = change.items.iter().filter_map(listed).collect();
                 let before = self.rollouts.len();
                 self.rollouts.retain(|name, _| listed.contains(name));
+                self.unreadable.retain(|name, _| listed.contains(name));
                 if self.rollouts.len() < before {
                     effects.push(Effect::Rollouts);
                 }
@@ -200,6 +209,7 @@
                 self.remove_worker(id, departure, rev, now, effects)
             }
             ObjectState::Rollout(rollout) => {
+                self.unreadable.remove(&rollout.name);
                 let known = self.rollouts.get(&rollout.name);
                 if known.is_none_or(|known| known.rev < rev) {
                     let value = rollout;
@@ -208,7 +218,11 @@
                     effects.push(Effect::Rollouts);
                 }
             }
+            ObjectState::RolloutUnreadable(name) => {
+                self.unreadable.insert(name, rev);
+            }
             ObjectState::RolloutRemoved(name) => {
+                self.unreadable.remove(&name);
                 if self.rollouts.remove(&name).is_some() {
                     effects.push(Effect::Rollouts);
                 }
--- a/crates/site/src/view/missing.rs
+++ b/crates/site/src/view/missing.rs
@@ -53,14 +53,16 @@
     }
 
     /// All rollouts; there are few.
-    fn rollout_items(&self) -> Vec<Versioned<ObjectState>> {
-        let rollouts = self.rollouts.values();
-        rollouts
-            .map(|rollout| Versioned {
-                rev: rollout.rev,
-                value: ObjectState::Rollout(rollout.value.clone()),
-            })
-            .collect()
+    pub fn rollout_items(&self) -> Vec<Versioned<ObjectState>> {
+        let rollouts = self.rollouts.values().map(|rollout| Versioned {
+            rev: rollout.rev,
+            value: ObjectState::Rollout(rollout.value.clone()),
+        });
+        let unreadable = self.unreadable.iter().map(|(name, rev)| Versioned {
+            rev: *rev,
+            value: ObjectState::RolloutUnreadable(name.clone()),
+        });
+        rollouts.chain(unreadable).collect()
     }
 
     fn evacuation_items(&self, after: Rev, full: bool) -> Vec<Versioned<ObjectState>> {
--- a/crates/site/tests/view/main.rs
+++ b/crates/site/tests/view/main.rs
@@ -9,3 +9,4 @@
 mod changes;
 mod harness;
 mod restores;
+mod rollouts;
--- a/crates/store/src/topics.rs
+++ b/crates/store/src/topics.rs
@@ -132,7 +132,8 @@
     }
 
     /// The items among the objects of a response. Reports each unreadable object; if it is a
-    /// worker's entry, the worker counts as removed.
+    /// worker's entry, the worker counts as removed, and if it is a rollout's, what was known of
+    /// that holds.
     pub(crate) fn reply_items(
         &mut self,
         topic: Topic,
@@ -141,17 +142,21 @@
     ) -> Vec<Versioned<ObjectState>> {
         let departure = self.departure(now);
         let actions = &mut self.actions;
-        let mut removed = Vec::new();
+        let mut unreadable = Vec::new();
         let mut items = topic_items(objects, |object| {
             if let Object::Unreadable { name, reason, rev } = object {
                 if topic == Topic::Workers && !name.is_empty() {
                     let value = ObjectState::WorkerRemoved(name.clone(), departure);
-                    removed.push(Versioned { rev, value });
+                    unreadable.push(Versioned { rev, value });
+                }
+                if topic == Topic::Rollouts && !name.is_empty() {
+                    let value = ObjectState::RolloutUnreadable(name.clone());
+                    unreadable.push(Versioned { rev, value });
                 }
                 actions.push(StoreAction::Notify(StoreEvent::Unreadable(name, reason)));
             }
         });
-        items.extend(removed);
+        items.extend(unreadable);
         items
     }
 
--- a/crates/store/tests/client/main.rs
+++ b/crates/store/tests/client/main.rs
@@ -9,4 +9,5 @@
 mod harness;
 mod members;
 mod restores;
+mod rollouts;
 mod topics;
