--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -26,6 +26,7 @@
 mod reaching;
 mod rejections;
 mod relay;
+mod rollouts;
 mod selection;
 mod sending;
 mod split;
--- a/crates/call/src/preview.rs
+++ b/crates/call/src/preview.rs
@@ -83,6 +83,7 @@
             deadline,
         );
         let criteria = Criteria {
+            canary: false,
             skip_busy: false,
             excluded: &[],
             service,
--- a/crates/call/tests/dispatcher/main.rs
+++ b/crates/call/tests/dispatcher/main.rs
@@ -19,4 +19,5 @@
 mod pauses;
 mod preview;
 mod random;
+mod rollouts;
 mod selection;
--- a/crates/daemon/src/fetches.rs
+++ b/crates/daemon/src/fetches.rs
@@ -5,7 +5,7 @@
     forward::ForwardExtended,
     peer::{ChangeSection, FrameCodec, PeerError, PeerRequest, TopicRevs},
     serde_json::json,
-    site::{Change, LegacyChange, Revs},
+    site::{Change, LegacyChange, Revs, Topic},
     std::net::Ipv4Addr,
     unit::Time,
     wire::ConnectionEnd,
@@ -207,7 +207,10 @@
 
 /// The reply to a daemon that reads extended messages.
 fn extended_reply(changes: &[Change]) -> Result<Vec<u8>, PeerError> {
-    let sections: Result<Vec<ChangeSection>, PeerError> =
-        changes.iter().map(ChangeSection::new).collect();
+    // Daemons tell each other of rollouts in sections of heartbeats.
+    let fetched = changes
+        .iter()
+        .filter(|change| change.topic != Topic::Rollouts);
+    let sections: Result<Vec<ChangeSection>, PeerError> = fetched.map(ChangeSection::new).collect();
     FrameCodec::encode(&sections?)
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod preview;
 mod relays;
 mod requests;
+mod rollouts;
 mod run;
 mod sections;
 mod shutdown;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -49,11 +49,13 @@
         let own = self.own_state();
         let mut actions = self.roster.tick(now, &own);
         self.ticks += 1;
+        self.rollouts_tick(now);
         self.add_news(now, &mut actions);
         self.run_roster_actions(now, actions);
         // Only regular heartbeats have sections; replies and announcements have none.
         self.sections.clear();
         self.update_store_role(now);
+        self.check_ready(now);
         self.log_peer_changes(now);
         if self.roster.is_isolated(now) {
             // The other daemons may treat this daemon as gone and divide its shares of the limits of
@@ -71,6 +73,8 @@
         if let Some(section) = self.rejecting_section(now, &mut limits) {
             self.sections.push(section);
         }
+        let rollouts = self.rollout_section(now);
+        self.sections.extend(rollouts);
         let bars = self.bar_news(now);
         for action in actions {
             if let RosterAction::Send(_, heartbeat) = action {
@@ -187,7 +191,8 @@
         let revs = self.view.revs();
         let synced = self.config.is_some()
             && revs.workers > Rev::default()
-            && revs.evacuations > Rev::default();
+            && revs.evacuations > Rev::default()
+            && self.knows_versions();
         if synced && self.stage == Stage::Starting {
             self.stage = Stage::Ready;
             let fields = json!({"config": self.config.as_ref().map(|config| config.version)});
@@ -258,6 +263,7 @@
         let actions = self.roster.handle_heartbeat(now, &heartbeat, format, &own);
         self.run_roster_actions(now, actions);
         self.handle_sections(now, &heartbeat.name, &sections);
+        self.adopt_rollouts(now, &sections, &heartbeat.ip.to_string());
         let news = heartbeat.news.unwrap_or_default();
         self.dispatcher
             .helpers
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -18,6 +18,7 @@
 mod notices;
 mod preview;
 mod restores;
+mod rollouts;
 mod stops;
 mod store;
 mod support;
--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -110,6 +110,11 @@
         &self.members
     }
 
+    /// The random number that tells this process run of the daemon from earlier ones.
+    pub const fn incarnation(&self) -> u32 {
+        self.incarnation
+    }
+
     /// Which messages are sent to an address: those that the daemon there reads, or the one that was
     /// heard last if several members had the address. One that isn't alive gets legacy messages,
     /// since it may have been started again with an earlier build.
--- a/crates/peer/src/topic_revs.rs
+++ b/crates/peer/src/topic_revs.rs
@@ -11,6 +11,7 @@
         Topic::Config => 1,
         Topic::Evacuations => 2,
         Topic::Workers => 3,
+        Topic::Rollouts => 4,
     }
 }
 
--- a/crates/peer/tests/fleet/messages.rs
+++ b/crates/peer/tests/fleet/messages.rs
@@ -204,3 +204,12 @@
         decode(&encode(&(vec![7_u8], 3_u8)).expect("encodable")).expect("a section");
     assert!(broken.change().is_err());
 }
+
+#[test]
+fn the_revision_of_the_rollouts_does_not_change_the_legacy_form() {
+    // Guards against heartbeats that builds without rollouts refuse.
+    let mut later = heartbeat();
+    later.revs.rollouts = site::Rev::new(site::Era(1), 900);
+    let encoded = encode(&later).expect("encodable");
+    assert_eq!(encoded, encode(&heartbeat()).expect("encodable"));
+}
--- a/crates/pick/tests/rejections.rs
+++ b/crates/pick/tests/rejections.rs
@@ -53,6 +53,7 @@
 
 fn ranking(table: &WorkerTable, now: u64) -> Vec<Selection> {
     let criteria = Criteria {
+        canary: false,
         skip_busy: false,
         excluded: &[],
         service: "s",
--- a/crates/site/src/legacy/change.rs
+++ b/crates/site/src/legacy/change.rs
@@ -19,14 +19,16 @@
 impl LegacyChange {
     /// Converts a change; `None` if legacy builds don't follow its topic.
     pub fn new(change: &Change) -> Option<Self> {
-        let item = |item: &Versioned<ObjectState>| Versioned {
-            rev: item.rev,
-            value: LegacyObjectState::from(&item.value),
+        let item = |item: &Versioned<ObjectState>| {
+            Some(Versioned {
+                rev: item.rev,
+                value: LegacyObjectState::new(&item.value)?,
+            })
         };
         Some(Self {
             absent_departure: change.absent_departure,
             full: change.full,
-            items: change.items.iter().map(item).collect(),
+            items: change.items.iter().filter_map(item).collect(),
             rev: change.rev,
             topic: LegacyTopic::new(change.topic)?,
         })
@@ -52,6 +54,7 @@
             Topic::Config => Some(Self::Config),
             Topic::Evacuations => Some(Self::Evacuations),
             Topic::Workers => Some(Self::Workers),
+            Topic::Rollouts => None,
         }
     }
 }
@@ -65,9 +68,10 @@
     WorkerRemoved(Name, Departure),
 }
 
-impl From<&ObjectState> for LegacyObjectState {
-    fn from(state: &ObjectState) -> Self {
-        match state {
+impl LegacyObjectState {
+    /// Converts an object's state; `None` for objects of topics that legacy builds don't follow.
+    fn new(state: &ObjectState) -> Option<Self> {
+        Some(match state {
             ObjectState::Config(config) => Self::Config(Box::new(LegacyConfig::from(&**config))),
             ObjectState::Evacuated(name) => Self::Evacuated(name.clone()),
             ObjectState::Returned(name) => Self::Returned(name.clone()),
@@ -75,7 +79,10 @@
             ObjectState::WorkerRemoved(id, departure) => {
                 Self::WorkerRemoved(id.clone(), *departure)
             }
-        }
+            ObjectState::Rollout(_)
+            | ObjectState::RolloutRemoved(_)
+            | ObjectState::RolloutUnreadable(_) => return None,
+        })
     }
 }
 
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -17,6 +17,7 @@
 mod legacy;
 mod notice;
 mod revs;
+mod rollout;
 mod route;
 mod route_kind;
 mod service;
@@ -40,6 +41,7 @@
     legacy::{LegacyChange, LegacyRevs},
     notice::Notice,
     revs::{Era, Rev, Revs},
+    rollout::{Rollout, RolloutState},
     route::{Route, Target},
     route_kind::RouteKind,
     service::{ColdStart, Service},
