Bodies of requests take bounded memory

Cause: each caller's body was read as it came, so memory grew with the callers of large bodies. Change: call::BodyMemory reserves memory for large bodies, 32 MiB in all; a connection without memory is not read, and one request alone may exceed the limit until its response. The pause doesn't count against the header time-out. A body's buffer doesn't grow beyond its length.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod attempt_ending;
+mod body_memory;
 mod call;
 mod call_action;
 mod call_event;
@@ -30,6 +31,7 @@
 
 pub use {
     attempt_ending::{AttemptEnding, AttemptReport, ProbeFailure},
+    body_memory::{BodyMemory, ReaderKey},
     call_action::{CallAction, CallError, ForwardOrder},
     call_event::{Arrival, CallEvent, Forwarded, Liveness},
     crashes::WorkerCrash,
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -84,6 +84,7 @@
             match caller.reader.next_request() {
                 Ok(Some(request)) => {
                     caller.partial_since = None;
+                    caller.reserved = 0;
                     let arrived = caller.held_since.take().unwrap_or(now);
                     self.handle_request(now, conn_key, request, arrived);
                 }
@@ -274,6 +275,7 @@
         let Some(conn) = self.conns.get(conn_key) else {
             return;
         };
+        self.body_memory.request_complete((conn_key, conn.serial));
         let fingerprint = Fingerprint::new(
             &normal_host(&head.host),
             &request.method,
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -85,6 +85,8 @@
     /// What another daemon said of the request that it forwards; `None` on a caller's own
     /// connection.
     pub(crate) forwarded: Option<ForwardExtended>,
+    /// Whether reading waits for memory that other requests' bodies take.
+    pub(crate) awaits_memory: bool,
     /// When the first bytes arrived that are held because this daemon has just started.
     pub(crate) held_since: Option<Time>,
     /// When the first bytes of an incomplete request arrived; `None` if there are none.
@@ -92,6 +94,8 @@
     /// Whether reading was put off until the caller has taken more of its responses.
     pub(crate) paused: bool,
     pub(crate) reader: RequestReader,
+    /// The memory that is reserved for the request that is being read, in bytes.
+    pub(crate) reserved: usize,
     /// The responses that are not sent yet, in the order of their requests.
     pub(crate) pipeline: VecDeque<PendingResponse>,
 }
@@ -120,6 +124,7 @@
     pub(crate) fn new_caller_conn(&self, forwarded: Option<ForwardExtended>) -> ConnKind {
         let limits = self.caller_limits();
         ConnKind::Caller(CallerConn {
+            awaits_memory: false,
             closing: false,
             forwarded,
             held_since: None,
@@ -129,6 +134,7 @@
                 body_bytes: limits.body_bytes,
                 head_bytes: limits.head_bytes,
             }),
+            reserved: 0,
             pipeline: VecDeque::new(),
         })
     }
@@ -167,6 +173,12 @@
             self.update_caller_timer(now, conn_key);
             return;
         }
+        if caller.awaits_memory {
+            // The caller isn't late: it is this daemon that doesn't read.
+            caller.partial_since = Some(now);
+            self.update_caller_timer(now, conn_key);
+            return;
+        }
         let late = |since: Time| now.since(since) >= limits.head_timeout;
         if caller.partial_since.is_some_and(late) {
             caller.closing = true;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -19,7 +19,7 @@
         timers::Timers,
         workers::LinkState,
     },
-    call::{CallId, Dispatcher, LinkId, Policy, StartupHold},
+    call::{BodyMemory, CallId, Dispatcher, LinkId, Policy, StartupHold},
     conf::Settings,
     mio::{Events, Interest, Poll, Token, net::TcpStream},
     nix::{
@@ -53,6 +53,8 @@
     pub(crate) account_usage: AccountUsage,
     /// The other daemons that were alive at the last check, to log which ones came and went.
     pub(crate) alive_peers: Set<Name>,
+    /// Which callers' requests are read while bodies take much memory.
+    pub(crate) body_memory: BodyMemory,
     /// Requests that have no response yet.
     pub(crate) calls: Map<CallId, ActiveRequest>,
     pub(crate) clock: Clock,
@@ -157,6 +159,7 @@
         let mut daemon = Self {
             account_usage: AccountUsage::default(),
             alive_peers: Set::default(),
+            body_memory: BodyMemory::default(),
             calls: Map::default(),
             hold: StartupHold::new(now),
             relays: Map::default(),
@@ -221,6 +224,7 @@
             }
             self.read_rest(now);
             self.run_due_timers(self.clock.now());
+            self.resume_bodies(self.clock.now());
             self.record_turn(now, events.iter().count());
             self.log.flush(now);
             if self
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -130,7 +130,7 @@
     /// there may be more, the connection is read again after all others that are ready, so that one
     /// that sends without end has a share of the turns only.
     pub(crate) fn read_conn(&mut self, now: Time, conn_key: usize) {
-        if self.is_reading_paused(conn_key) {
+        if self.is_reading_paused(conn_key) || self.awaits_memory(conn_key) {
             if let Some(caller) = self.caller_conn(conn_key) {
                 caller.paused = true;
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod admission;
 mod arguments;
+mod bodies;
 mod callers;
 mod channel;
 mod conn;
--- a/crates/daemon/src/relays.rs
+++ b/crates/daemon/src/relays.rs
@@ -88,9 +88,11 @@
         &mut self,
         now: Time,
         call: CallId,
-        active: ActiveRequest,
+        mut active: ActiveRequest,
         worker_key: usize,
     ) {
+        // The request isn't sent again.
+        active.request.body = Vec::new();
         let relay = Relay::new(active.deadline, now);
         let next_check = relay.next_check();
         let prefix = self.reply_prefix(active.conn_key, ForwardReply::Response(active.run));
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -20,4 +20,5 @@
 mod stops;
 mod store;
 mod support;
+mod uploads;
 mod workers;
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -101,6 +101,15 @@
         if self.data.len() + size > self.limit {
             return Err(WireError::BodyLimit);
         }
+        if let Framing::Sized(total) = self.framing {
+            // Grows by doubling, but never beyond the body's length.
+            let left = total - self.taken - self.data.len();
+            let room = self.data.capacity() - self.data.len();
+            if size > room {
+                let growth = self.data.len().max(size).min(left);
+                self.data.reserve_exact(growth);
+            }
+        }
         self.data.extend(buf.drain(..size));
         Ok(size)
     }
--- a/crates/wire/src/request_reader.rs
+++ b/crates/wire/src/request_reader.rs
@@ -37,6 +37,22 @@
         self.partial.is_some() || !self.buf.is_empty()
     }
 
+    /// How many bytes of a request that is still incomplete are held.
+    pub fn held(&self) -> usize {
+        let body = self.partial.as_ref().map_or(0, |(_, body)| body.len());
+        self.buf.len() + body
+    }
+
+    /// The length of the body of the request that is still incomplete; `None` if there is no such
+    /// request, or if the length isn't known yet.
+    pub fn body_length(&self) -> Option<usize> {
+        let (_, body) = self.partial.as_ref()?;
+        match body.framing() {
+            Framing::Sized(size) => Some(size),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
+    }
+
     /// Whether `100 Continue` is to be sent now. Clears the flag.
     pub fn take_continue_due(&mut self) -> bool {
         std::mem::take(&mut self.continue_due)
