Fuzz keys, account headers and site files

Cause: what callers send as keys and account names, and operators' accounts, was not fuzzed. Change: requests with keys and forged accounts, whose encoded forms must show neither; the target site-file; samples with accounts for the store and ForwardExtended.

--- a/crates/standin/src/fuzz/target.rs
+++ b/crates/standin/src/fuzz/target.rs
@@ -1,12 +1,12 @@
 //! The decoders that are fuzzed.
 
 use {
-    crate::{config::config, settings::settings},
+    crate::{config::config, key_ring::KeyRing, settings::settings},
     clap::ValueEnum,
-    conf::ServiceFile,
+    conf::{ServiceFile, SiteFile},
     derive_more::Display,
     fastrand::Rng,
-    forward::{ForwardReply, ForwardRequest},
+    forward::{ForwardExtended, ForwardReply, ForwardRequest},
     peer::{
         CoarseAge, FetchRequest, FrameCodec, GossipEntry, Heartbeat, LimitEntry, News, PeerRequest,
         Roster, Stage,
@@ -14,11 +14,12 @@
     pick::{LimitNews, WorkerTable},
     platform::{
         AccountHeader, StoreCall, decode_addresses, decode_reply, decode_settings,
-        encode_addresses, encode_config, encode_forwarded, read_admin_call, read_health,
-        read_request_head, read_response_head,
+        encode_addresses, encode_config, encode_forwarded, encode_passed_on, read_admin_call,
+        read_credential, read_health, read_request_head, read_response_head,
+        remove_account_headers,
         standin::{
-            StoredObject, add_notice, client_request, encode_settings, events_response,
-            page_response, sign_response, worker_spec,
+            StoredObject, add_key, add_notice, client_request, encode_settings, events_response,
+            forge_account, page_response, read_forwarded_head, sign_response, worker_spec,
         },
     },
     poison::{CrashNews, Fingerprint},
@@ -55,6 +56,9 @@
     /// The platform's settings file.
     #[display("settings")]
     Settings,
+    /// The operators' files of sites, with limits and client accounts.
+    #[display("site-file")]
+    SiteFile,
     /// Responses of the store, and the view that they change.
     #[display("store")]
     Store,
@@ -63,6 +67,9 @@
 const SERVICE_FILE: &str = "[service]\nname = gallery\nhealth = /healthz\n[route browse]\n\
     host = gallery.example\nprefix = /pictures/\nkind = idempotent\nobjective_ms = 200\n";
 
+const SITE_FILE: &str = "[limits]\nidle_ms = 9000\n[account acme]\nkeys = k1, k2\nrate = 0.5\n\
+    burst = 7\npriority = 0\n[account blue]\nkeys = k3\n";
+
 impl FuzzTarget {
     /// Valid messages of the target.
     pub(crate) fn samples(self) -> Vec<Vec<u8>> {
@@ -78,6 +85,14 @@
                     config: 7,
                     service: "gallery".into(),
                 })),
+                frame(&PeerRequest::ForwardExtended(ForwardExtended {
+                    account: Some("acme".into()),
+                    request: ForwardRequest {
+                        attempts: 2,
+                        config: 7,
+                        service: "gallery".into(),
+                    },
+                })),
                 frame(&ForwardReply::NotRun(Span::millis(40))),
                 frame(&PeerRequest::Fetch(FetchRequest {
                     revs: Revs::default(),
@@ -91,6 +106,7 @@
             ],
             Self::ServiceFile => vec![SERVICE_FILE.into()],
             Self::Settings => vec![settings_text().into_bytes()],
+            Self::SiteFile => vec![SITE_FILE.into()],
             Self::Store => store_bodies(),
         }
     }
@@ -115,6 +131,9 @@
                 ));
             }
             Self::Settings => drop(decode_settings(&String::from_utf8_lossy(input))),
+            Self::SiteFile => {
+                drop(SiteFile::parse("fuzz.ini", &String::from_utf8_lossy(input)));
+            }
             Self::Store => run_store(input, rng),
         }
     }
@@ -204,7 +223,14 @@
     request.encode(&mut sized);
     let chunked = b"POST /p/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\
         Expect: 100-continue\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
-    vec![sized, chunked.to_vec()]
+    let mut keyed = request;
+    for key in ["key-0", "key-1"] {
+        add_key(&mut keyed, key);
+        forge_account(&mut keyed, "forged");
+    }
+    let mut accounted = Vec::new();
+    keyed.encode(&mut accounted);
+    vec![sized, chunked.to_vec(), accounted]
 }
 
 fn worker_response(status: u16) -> Response {
@@ -248,6 +274,7 @@
 
 /// The bodies of the store's responses with a worker's entry and the configuration.
 fn store_bodies() -> Vec<Vec<u8>> {
+    let (accounts, keys) = KeyRing::new(2).config(2);
     let objects = [
         StoredObject {
             name: "w-0".into(),
@@ -259,6 +286,11 @@
             rev: Rev::default(),
             spec: encode_config(&config(1), None, &ApiKeys::default()),
         },
+        StoredObject {
+            name: "main".into(),
+            rev: Rev::default(),
+            spec: encode_config(&accounts, None, &keys),
+        },
     ];
     let events: Vec<(StoredObject, bool)> = objects
         .iter()
@@ -346,6 +378,37 @@
         AccountHeader::Unchanged,
         Span::millis(100),
     ));
+    check_accounts(request);
+}
+
+/// Checks that neither a worker nor another daemon sees a key or an account that a client sent,
+/// whatever its headers look like.
+fn check_accounts(request: &Request) {
+    read_credential(request);
+    let mut cleared = request.clone();
+    remove_account_headers(&mut cleared);
+    let left = Span::millis(100);
+    for request in [request, &cleared] {
+        let header = AccountHeader::Replaced(Some("acme"));
+        check_sent(&encode_forwarded(request, "w-0", header, left), &["acme"]);
+        let header = AccountHeader::Replaced(None);
+        check_sent(&encode_forwarded(request, "w-0", header, left), &[]);
+        check_sent(&encode_passed_on(request, true, left), &[]);
+    }
+}
+
+/// Checks the accounts that an encoded request names, and that it has no key.
+fn check_sent(bytes: &[u8], accounts: &[&str]) {
+    let mut reader = RequestReader::new(Limits {
+        body_bytes: usize::MAX,
+        head_bytes: usize::MAX,
+    });
+    reader.push(bytes);
+    if let Ok(Some(sent)) = reader.next_request() {
+        let head = read_forwarded_head(&sent);
+        assert!(!head.has_key, "a key was passed on");
+        assert_eq!(head.accounts, accounts, "another account was passed on");
+    }
 }
 
 fn run_response(input: &[u8], rng: &mut Rng) {
