--- a/crates/call/tests/dispatcher/forwarding.rs
+++ b/crates/call/tests/dispatcher/forwarding.rs
@@ -1,13 +1,13 @@
 //! Requests that are passed on to another daemon, since no worker can be reached.
 
 use {
-    crate::harness::{Harness, bounds, idle_health, route},
+    crate::harness::{Harness, bounds, idle_health, route, service},
     call::{
         Arrival, AttemptEnding, AttemptReport, CallAction, CallError, CallEvent, CallId,
         ForwardEnding, Forwarded, LinkId, Policy,
     },
     poison::Fingerprint,
-    site::{Credential, Notice, Route, RouteKind},
+    site::{Account, Config, Credential, KeyDigest, Notice, Route, RouteKind},
     std::{net::Ipv4Addr, sync::Arc},
     unit::{Set, Span},
 };
@@ -272,3 +272,34 @@
     }
     assert!(tried > 20, "{tried}");
 }
+
+/// Guards against a helper of a build that doesn't read accounts: it would run the request for none.
+#[test]
+fn a_request_of_an_account_is_not_forwarded() {
+    let mut harness = cut();
+    let account = Account {
+        burst: 0,
+        keys: vec![KeyDigest::of("k")],
+        name: "a".into(),
+        priority: None,
+        rate: None,
+    };
+    let mut config = Config::default();
+    config.services.insert("s".into(), Arc::new(service("s")));
+    let account = Arc::new(account);
+    config.accounts.insert("a".into(), Arc::clone(&account));
+    harness.dispatcher.configure(Arc::new(config));
+    harness.handle(CallEvent::Arrived(Arrival {
+        account: Some(account),
+        call: CallId(2_000),
+        credential: Credential::Key(KeyDigest::of("k")),
+        fingerprint: Fingerprint(2_000),
+        forwarded: None,
+        timeout: Some(Span::secs(1)),
+        route: reads(),
+        waited: Span::ZERO,
+    }));
+    harness.advance(Span::millis(900));
+    let forwards = |action: &&CallAction| matches!(action, CallAction::Forward(_));
+    assert_eq!(harness.actions.iter().filter(forwards).count(), 0);
+}
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -85,13 +85,15 @@
                 problem_response(502, "the answer is no longer there", Some(&active.id), None)
             }
         };
-        let fields = json!({
+        let mut fields = json!({
             "request": active.id,
             "status": response.status,
             "elapsed_ms": elapsed.as_millis(),
             "bytes": response.body.len(),
-            "account": active.account,
         });
+        if let Some(account) = &active.account {
+            fields["account"] = json!(account);
+        }
         self.log_event(now, log_event::DELIVERED, fields);
         self.respond_to_caller(now, &active, call, response);
     }
@@ -227,6 +229,9 @@
             && let Some(active) = self.calls.get(&record.call)
         {
             fields["fingerprint"] = json!(active.fingerprint.to_string());
+            if let Some(account) = &active.account {
+                fields["account"] = json!(account);
+            }
         }
         fields["request"] = json!(request);
         fields["elapsed_ms"] = json!(elapsed);
--- a/crates/daemon/tests/failures/accounts.rs
+++ b/crates/daemon/tests/failures/accounts.rs
@@ -5,10 +5,14 @@
         callers::{connect, exchange},
         support::{default_plan, new_caller, start_fleet, state_dump, wait_for_config, wait_until},
     },
+    forward::{ForwardExtended, ForwardReply, ForwardRequest},
+    peer::{FrameCodec, PeerRequest},
     site::{Account, ApiKeys, Config, KeyDigest},
+    socket2::{Domain, Socket, Type},
     standin::{Caller, Cut, Fleet, FleetPlan, Outcome},
     std::{
         io::{Read, Write},
+        net::{SocketAddrV4, TcpStream},
         sync::Arc,
         time::Duration,
     },
@@ -274,3 +278,54 @@
     let log = fleet.log(0).unwrap_or_default();
     assert!(log.contains("\"event\":\"account-problem\""));
 }
+
+/// A connection to the port for other daemons of the first daemon, from the address of the second.
+fn connect_as_peer(fleet: &Fleet) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let source = SocketAddrV4::new(*fleet.address(1).ip(), 0);
+    socket.bind(&source.into()).expect("an own address");
+    let address = fleet.peer_address(0).into();
+    socket.connect(&address).expect("the daemon listens");
+    let conn = TcpStream::from(socket);
+    conn.set_read_timeout(Some(Duration::from_secs(10)))
+        .expect("a timeout");
+    conn
+}
+
+/// The answer to a request with header lines that a daemon forwards for an account.
+fn forward(fleet: &Fleet, account: Option<&str>, id: &str, lines: &str) -> ForwardReply {
+    let head = PeerRequest::ForwardExtended(ForwardExtended {
+        account: account.map(Name::from),
+        request: ForwardRequest {
+            attempts: 2,
+            config: 2,
+            service: "gallery".into(),
+        },
+    });
+    let mut conn = connect_as_peer(fleet);
+    let mut bytes = FrameCodec::encode(&head).expect("a small message");
+    bytes.extend(get("/pictures/1", id, lines).into_bytes());
+    conn.write_all(&bytes).expect("the daemon reads");
+    let mut answer = Vec::new();
+    conn.read_to_end(&mut answer).expect("an answer");
+    let mut codec = FrameCodec::default();
+    codec.push(&answer);
+    codec.decode().expect("a reply").expect("a whole reply")
+}
+
+/// Guards against a helper that runs a forwarded request for no account or another one, or takes
+/// one whose account it doesn't know.
+#[test]
+fn a_helper_runs_a_forwarded_request_for_the_account_that_it_is_told() {
+    let fleet = start_fleet();
+    put_accounts(&fleet, 2, &[("acme", &["key-a"]), ("blue", &["key-b"])]);
+    let forged = "Tenant: blue\r\nAuthorization: Bearer key-b\r\n";
+    let reply = forward(&fleet, Some("acme"), "f1", forged);
+    assert!(matches!(reply, ForwardReply::Response(_)), "{reply:?}");
+    assert_eq!(accounts_of(&fleet, "f1"), [["acme"]]);
+    for (account, id) in [(Some("gone"), "f2"), (None, "f3")] {
+        let reply = forward(&fleet, account, id, "Tenant: blue\r\n");
+        assert_eq!(reply, ForwardReply::Declined);
+        assert!(accounts_of(&fleet, id).is_empty());
+    }
+}
--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -53,6 +53,15 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
+/// The head of a write with a long deadline, the last one on its connection; `framing` is the header
+/// line that says how its body ends.
+pub(crate) fn post_head(path: &str, id: &str, framing: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: gallery.example\r\nRequest-Id: {id}\r\n\
+         Deadline-Ms: 10000\r\nConnection: close\r\n{framing}\r\n\r\n"
+    )
+}
+
 /// A request for a path; the last one on its connection if `last`.
 pub(crate) fn get(path: &str, id: &str, last: bool) -> String {
     let close = if last { "Connection: close\r\n" } else { "" };
--- a/crates/daemon/tests/failures/uploads.rs
+++ b/crates/daemon/tests/failures/uploads.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        callers::connect,
+        callers::{connect, post_head},
         support::{default_plan, new_caller, wait_for_config},
     },
     site::RouteKind,
@@ -56,10 +56,7 @@
     } else {
         format!("Content-Length: {BODY_BYTES}")
     };
-    let head = format!(
-        "POST /payouts/{at} HTTP/1.1\r\nHost: gallery.example\r\nRequest-Id: u{at}\r\n\
-         Deadline-Ms: 10000\r\nConnection: close\r\n{framing}\r\n\r\n"
-    );
+    let head = post_head(&format!("/payouts/{at}"), &format!("u{at}"), &framing);
     conn.write_all(head.as_bytes()).expect("the daemon reads");
     let part = vec![b'x'; PART_BYTES];
     for _ in 0..BODY_BYTES / PART_BYTES {
