--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -22,4 +22,5 @@
 mod stops;
 mod store;
 mod support;
+mod uploads;
 mod workers;
