--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -27,6 +27,8 @@
     name: Name,
     /// The routes that the daemon can't serve as they are configured, if it reports any.
     problems: Vec<String>,
+    /// The rollouts that the daemon knows, each in a line.
+    rollouts: Vec<String>,
     /// The daemon's stage, or why it isn't known.
     stage: String,
 }
@@ -122,6 +124,7 @@
         config: state["config"].as_u64(),
         name: member.name,
         problems: problem_texts(&state["problems"]),
+        rollouts: rollout_texts(&state["rollouts"]),
         stage,
     }
 }
@@ -136,6 +139,28 @@
         .collect()
 }
 
+/// The rollouts in a daemon's state, with what the fleet has counted of their versions.
+fn rollout_texts(rollouts: &Value) -> Vec<String> {
+    let rollouts = rollouts.as_array().map_or(&[][..], Vec::as_slice);
+    let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+    let counts = |value: &Value| {
+        let number = |field: &str| value[field].as_u64().unwrap_or_default();
+        let [requests, failed, slow] = ["requests", "failed", "slow"].map(number);
+        format!("{requests} requests, {failed} failed, {slow} slow")
+    };
+    let line = |value: &Value| {
+        format!(
+            "{} to {}: {}, new {}; old {}",
+            text(&value["service"]),
+            text(&value["target"]),
+            text(&value["phase"]),
+            counts(&value["new"]),
+            counts(&value["old"])
+        )
+    };
+    rollouts.iter().map(line).collect()
+}
+
 /// The text output: the published version, the evacuated data centres and a line for each daemon.
 fn format_text(published: Option<u64>, evacuated: &[Name], daemons: &[DaemonStatus]) -> String {
     let or_dash = |number: Option<u64>| number.map_or("-".to_owned(), |number| number.to_string());
@@ -153,6 +178,9 @@
         for problem in &daemon.problems {
             text += &format!("    route {problem}\n");
         }
+        for rollout in &daemon.rollouts {
+            text += &format!("    rollout {rollout}\n");
+        }
     }
     text
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -49,6 +49,9 @@
     pub(crate) route_problems: IntGauge,
     /// Requests that matched a route, by the route's kind.
     routed: IntCounterVec,
+    /// Requests sent to workers of services with a rollout, by whether these have the target
+    /// version.
+    rollout_sends: IntCounterVec,
     /// Requests sent to workers, by whether they had been sent before.
     sends: IntCounterVec,
     /// Calls to the platform's store.
@@ -134,6 +137,12 @@
                 "Requests that matched a route",
                 "kind",
             ),
+            rollout_sends: counter_vec(
+                &registry,
+                "rollout_sends_total",
+                "Requests sent to workers of services with a rollout",
+                "version",
+            ),
             sends: counter_vec(
                 &registry,
                 "sends_total",
@@ -173,6 +182,12 @@
         self.forwards.with_label_values(&[step]).inc();
     }
 
+    /// Counts a send to a worker of a service with a rollout.
+    pub(crate) fn count_rollout_send(&self, is_target: bool) {
+        let version = if is_target { "target" } else { "old" };
+        self.rollout_sends.with_label_values(&[version]).inc();
+    }
+
     /// Counts a decision about a request.
     pub(crate) fn count_decision(&self, decision: &Decision) {
         match decision {
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -219,6 +219,7 @@
             Decision::Backoff(span) => (log_event::WAITS, json!({"span_ms": span.as_millis()})),
         };
         self.metrics.count_decision(&record.decision);
+        self.count_version(&record.decision);
         let mut fields = fields;
         if matches!(record.decision, Decision::Sent { .. })
             && let Some(active) = self.calls.get(&record.call)
--- a/crates/daemon/src/rollouts.rs
+++ b/crates/daemon/src/rollouts.rs
@@ -3,8 +3,10 @@
 
 use {
     crate::{daemon::Daemon, log_event},
+    call::Decision,
     conf::RolloutBounds,
     peer::{Section, SectionTag, Stage},
+    pick::WorkerTable,
     rollout::{
         Conditions, Finding, Listing, Order, Params, Phase, Rollout, RolloutSection, Side,
         Versions, hash,
@@ -13,14 +15,17 @@
     site::{Change, Departure, Rev, RolloutState, Topic, Versioned, Worker},
     std::sync::Arc,
     store::Role,
-    unit::{Map, Name, Set, Time},
+    unit::{Map, Name, Set, Span, Time, rendezvous_weight},
 };
 
-/// Heartbeats hold at most this many daemons' reports of one rollout: eight take about 400 bytes.
-const MAX_REPORTS: usize = 8;
+/// Heartbeats hold at most this many daemons' reports of one rollout. A daemon sends 30 heartbeats a
+/// second, so that each report more costs about 2 KB a second.
+const MAX_REPORTS: usize = 4;
 /// The heartbeats of one tick in this many hold the list of all rollouts, as do those right after a
 /// change.
 const LISTING_ONE_IN: u64 = 5;
+/// How long after a change of rollouts each heartbeat lists them.
+const CHANGE_TIME: Span = Span::secs(2);
 /// The key under which the ids of a service's workers are ranked to choose the canaries.
 const CANARY_KEY: &str = "canary";
 
@@ -188,6 +193,20 @@
         }
     }
 
+    /// Counts a send by the version of its worker, if its service has a rollout.
+    pub(crate) fn count_version(&self, decision: &Decision) {
+        let Decision::Sent { worker, .. } = decision else {
+            return;
+        };
+        let Some(record) = self.dispatcher.table.get(*worker) else {
+            return;
+        };
+        if let Some(rollout) = self.dispatcher.rollouts.get(&record.worker.service) {
+            let is_target = record.worker.version == rollout.object().target;
+            self.metrics.count_rollout_send(is_target);
+        }
+    }
+
     /// The rollouts, for operators.
     pub(crate) fn rollouts_json(&self, now: Time) -> Vec<Value> {
         let rollouts = self.dispatcher.rollouts.values();
@@ -419,11 +438,8 @@
     }
 }
 
-/// How long after a change of rollouts each heartbeat lists them.
-const CHANGE_TIME: unit::Span = unit::Span::secs(2);
-
 /// The versions of a service's workers.
-fn present_versions(table: &pick::WorkerTable, service: &Name) -> Set<Name> {
+fn present_versions(table: &WorkerTable, service: &Name) -> Set<Name> {
     let workers = table.iter().map(|(_, record)| &record.worker);
     let own = workers.filter(|worker| worker.service == *service);
     own.map(|worker| Arc::clone(&worker.version)).collect()
@@ -431,7 +447,7 @@
 
 /// The workers of a target version that get its share: so few that each is as loaded as an old one.
 /// All daemons choose the same.
-fn choose_canaries(table: &pick::WorkerTable, rollout: &Rollout, params: Params) -> Vec<Name> {
+fn choose_canaries(table: &WorkerTable, rollout: &Rollout, params: Params) -> Vec<Name> {
     let target = &rollout.object().target;
     let workers = table.iter().map(|(_, record)| &record.worker);
     let workers = workers.filter(|worker| worker.service == *rollout.service());
@@ -443,7 +459,7 @@
     let count = (old.len() as f64 * params.share).ceil().max(1.0) as usize;
     let mut new: Vec<(u64, &Name)> = new
         .iter()
-        .map(|worker| (unit::rendezvous_weight(CANARY_KEY, &worker.id), &worker.id))
+        .map(|worker| (rendezvous_weight(CANARY_KEY, &worker.id), &worker.id))
         .collect();
     new.sort_unstable();
     new.truncate(count);
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -84,7 +84,7 @@
     /// Those of the other versions.
     pub old: Counts,
     /// The hash of the route's name.
-    pub route: u32,
+    pub route: u16,
     /// Those of the target version.
     pub target: Counts,
 }
@@ -95,7 +95,7 @@
 
 impl Evidence {
     /// Counts one end of a request.
-    pub fn record(&mut self, route: u32, side: Side, outcome: Outcome) {
+    pub fn record(&mut self, route: u16, side: Side, outcome: Outcome) {
         let entry = self.route_mut(route);
         let counts = match side {
             Side::Old => &mut entry.old,
@@ -142,7 +142,7 @@
         total
     }
 
-    fn route_mut(&mut self, route: u32) -> &mut RouteEvidence {
+    fn route_mut(&mut self, route: u16) -> &mut RouteEvidence {
         let known = self.0.iter().position(|entry| entry.route == route);
         let index = known.unwrap_or_else(|| {
             self.0.push(RouteEvidence {
--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -31,7 +31,7 @@
     pub id: u32,
     /// The median time of the old version's responses on each route, by the hash of its name, in
     /// microseconds.
-    pub medians: Vec<(u32, u32)>,
+    pub medians: Vec<(u16, u32)>,
     /// Some daemons' reports.
     pub reports: Vec<Report>,
     /// The time since the traffic began to shift, in milliseconds; `None` before that.
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -74,7 +74,7 @@
     settled: bool,
     /// When the traffic began to shift.
     shifting: Option<Time>,
-    slow_bounds: Map<u32, SlowBound>,
+    slow_bounds: Map<u16, SlowBound>,
     /// When the object was written, as far as is known.
     started: Time,
     /// The state that the store has; a store that came back from an older copy may lack a verdict.
@@ -229,7 +229,7 @@
 
     /// Records how a request ended that a worker may have run.
     pub fn record_end(&mut self, route: &str, side: Side, took: Span, failed: bool) {
-        let route = hash(route);
+        let route = route_hash(route);
         let bound = self.slow_bounds.entry(route).or_default();
         let outcome = match (failed, bound.is_slow(took)) {
             (true, _) => Outcome::Failed,
@@ -246,7 +246,7 @@
     /// Records that a request was given up before its response. It counts only if it had taken too
     /// long by then.
     pub fn record_cancelled(&mut self, route: &str, side: Side, took: Span) {
-        let route = hash(route);
+        let route = route_hash(route);
         let slow = self.slow_bounds.get(&route);
         if slow.is_some_and(|bound| bound.is_slow(took) == Some(true)) {
             self.own.record(route, side, Outcome::Slow);
@@ -409,6 +409,12 @@
     }
 }
 
+/// The hash by which daemons tell each other of a route. Two routes with the same hash, which is
+/// unlikely, are judged as one.
+fn route_hash(route: &str) -> u16 {
+    hash(route) as u16
+}
+
 /// The hash by which daemons tell each other of names.
 pub fn hash(text: &str) -> u32 {
     // Half of it is dropped to keep messages small.
--- a/crates/rollout/tests/fleet/sums.rs
+++ b/crates/rollout/tests/fleet/sums.rs
@@ -105,6 +105,33 @@
     assert_eq!(rollout.decide(Time::ZERO, &[], true), Some(order));
 }
 
+#[test]
+fn news_of_four_reports_stays_small() {
+    // Guards against heartbeats beyond the budget: 30 of them a second, 8 KB a second for rollouts.
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut rollout = Rollout::new(object(Span::secs(60)), PARAMS, Time::ZERO, &mut rng);
+    let mut counts = Evidence::default();
+    for route in [u16::MAX, u16::MAX - 1, u16::MAX - 2] {
+        for _ in 0..300 {
+            counts.record(route, Side::Old, rollout::Outcome::Served);
+        }
+        for _ in 0..30 {
+            counts.record(route, Side::Target, rollout::Outcome::Served);
+        }
+    }
+    let reports = (0..4).map(|daemon| Report {
+        daemon: u32::MAX - daemon,
+        incarnation: u32::MAX,
+        ..report(900, counts.clone())
+    });
+    let mut news = rollout.news(Time::at(Span::secs(30)), 0);
+    news.reports = reports.collect();
+    news.medians = vec![(u16::MAX, 50_000); 3];
+    let bytes = bincode::serde::encode_to_vec(&news, bincode::config::standard());
+    let bytes = bytes.expect("encodable").len();
+    assert!(bytes <= 270, "{bytes} bytes");
+}
+
 #[test]
 fn a_report_counts_once_however_often_and_in_whatever_order_it_arrives() {
     // Guards against counts that grow with the number of daemons that pass them on.
