Tests of rollouts in selection catch a retry at the target version and a send between verdict and lanes

Cause: two mutations of the dispatcher passed: with one new worker a retry couldn't return to it, and lanes were updated before the send. Now both fail these tests, as do removals of leave_canary, of the view's check of old events and of the bound without the store.

--- a/crates/call/tests/dispatcher/rollouts.rs
+++ b/crates/call/tests/dispatcher/rollouts.rs
@@ -20,14 +20,16 @@
     }
 }
 
-/// A dispatcher with the old worker `x` and the new one `n`, which gets half of the requests.
+/// A dispatcher with the old worker `x` and the new ones `n1` and `n2`, which get some requests.
 fn harness() -> Harness {
     let mut harness = Harness::new(&["x"]);
-    let new = Worker {
-        version: "v2".into(),
-        ..worker("n")
-    };
-    harness.dispatcher.table.upsert(new, harness.now);
+    for id in ["n1", "n2"] {
+        let new = Worker {
+            version: "v2".into(),
+            ..worker(id)
+        };
+        harness.dispatcher.table.upsert(new, harness.now);
+    }
     let params = Params {
         share: 1.0,
         slack: 50.0,
@@ -63,7 +65,7 @@
         harness.actions.clear();
         harness.arrive(&route);
         let link = harness.next_probe();
-        if &*harness.worker_id(link) == "n" {
+        if harness.worker_id(link).starts_with('n') {
             return link;
         }
         harness.answer_probe(link, idle_health());
@@ -100,6 +102,9 @@
     let mut harness = harness();
     let link = probe_canary(&mut harness);
     harness.fail_probe(link);
+    let second = harness.next_probe();
+    assert!(harness.worker_id(second).starts_with('n'));
+    harness.fail_probe(second);
     let other = harness.next_probe();
     assert_eq!(&*harness.worker_id(other), "x");
 }
@@ -112,11 +117,18 @@
     let rollout = harness.dispatcher.rollouts.get_mut("s").expect("a rollout");
     rollout.update(object(Some(RolloutState::RolledBack)));
     assert_eq!(rollout.phase(), Phase::RolledBack);
-    tick(&mut harness, Lane::Held, Lane::Open);
+    // Before and after the workers' lanes follow the verdict.
     harness.answer_probe(link, idle_health());
+    assert_eq!(count_sends(&harness), 0);
+    tick(&mut harness, Lane::Held, Lane::Open);
+    assert_eq!(count_sends(&harness), 0);
+}
+
+fn count_sends(harness: &Harness) -> usize {
     let sends = harness.actions.iter();
-    let mut sends = sends.filter(|action| matches!(action, CallAction::Send(..)));
-    assert_eq!(sends.next(), None);
+    sends
+        .filter(|action| matches!(action, CallAction::Send(..)))
+        .count()
 }
 
 #[test]
