--- a/crates/standin/src/fuzz/target.rs
+++ b/crates/standin/src/fuzz/target.rs
@@ -297,6 +297,8 @@
             spec: encode_config(&config(1), None, &ApiKeys::default()),
         },
         StoredObject {
+            created: Rev::default(),
+            status: serde_json::Value::Null,
             name: "main".into(),
             rev: Rev::default(),
             spec: encode_config(&accounts, None, &keys),
