--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,6 +4,7 @@
 mod ini_file;
 mod listen;
 mod problem;
+mod quota_bounds;
 mod route_section;
 mod service_file;
 mod settings;
@@ -13,6 +14,7 @@
     bounds::Bounds,
     listen::Listen,
     problem::{Problem, Problems},
+    quota_bounds::QuotaBounds,
     service_file::ServiceFile,
     settings::Settings,
     site_file::{compile, parse_limits},
