--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -5,6 +5,7 @@
 mod ini_file;
 mod listen;
 mod problem;
+mod quota_bounds;
 mod route_section;
 mod service_file;
 mod settings;
@@ -14,6 +15,7 @@
     bounds::{Bounds, RolloutBounds},
     listen::Listen,
     problem::{Problem, Problems},
+    quota_bounds::QuotaBounds,
     service_file::ServiceFile,
     settings::Settings,
     site_file::{SiteFile, compile},
