--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -8,6 +8,7 @@
         leaving::LeavingCount,
         reaching::ReachChange,
         rejections::RejectionChange,
+        shedding::WaitLimit,
         split::Split,
     },
     fastrand::Rng,
@@ -81,6 +82,8 @@
     pub(crate) trials: Map<LinkId, Trial>,
     /// The estimated bytes of requests and their responses, by the route's name.
     pub(crate) transfers: Map<Name, TransferEstimate>,
+    /// How many requests may wait for workers, by the route's name.
+    pub(crate) wait_limits: Map<Name, WaitLimit>,
     /// The estimated latencies, by the route's name.
     pub(crate) latency_estimates: Map<Name, LatencyEstimate>,
 }
@@ -118,6 +121,7 @@
             timers: BinaryHeap::new(),
             transfers: Map::default(),
             trials: Map::default(),
+            wait_limits: Map::default(),
             latency_estimates: Map::default(),
         }
     }
@@ -144,6 +148,7 @@
         self.reaches
             .retain(|name, _| config.services.contains_key(name));
         self.splits.retain(|name, _| routes.contains(name));
+        self.wait_limits.retain(|name, _| routes.contains(name));
         self.latency_estimates
             .retain(|name, _| routes.contains(name));
         self.accounts = Accounts::new(&config);
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -30,6 +30,7 @@
 mod rollouts;
 mod selection;
 mod sending;
+mod shedding;
 mod split;
 mod startup_hold;
 
--- a/crates/call/src/rollouts.rs
+++ b/crates/call/src/rollouts.rs
@@ -29,7 +29,7 @@
             return false;
         }
         call.canary = false;
-        call.probed.clear();
+        call.clear_round();
         self.select_worker(now, id);
         true
     }
--- a/crates/call/tests/dispatcher/main.rs
+++ b/crates/call/tests/dispatcher/main.rs
@@ -21,3 +21,4 @@
 mod random;
 mod rollouts;
 mod selection;
+mod shedding;
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -71,6 +71,7 @@
     411 FORWARD_DECLINED "forward-declined";
     412 FORWARD_TAKEN "forward-taken";
     413 KEY_REFUSED "key-refused";
+    416 SHED "shed";
     500 ACCEPT_FAILED "accept-failed";
     501 TURN_SLOW "turn-slow";
 }
