--- a/crates/daemon/tests/failures/floods.rs
+++ b/crates/daemon/tests/failures/floods.rs
@@ -5,7 +5,7 @@
         callers::{CHUNKED_HEAD, connect, get},
         support::{run_load_served, start_fleet},
     },
-    peer::{FetchRequest, FrameCodec},
+    peer::{FetchRequest, FrameCodec, PeerRequest},
     site::Revs,
     standin::{Fleet, StoreFault, WorkerFault},
     std::{
@@ -105,9 +105,9 @@
     address.set_port(address.port() + 4);
     let mut conn = TcpStream::connect(address).expect("the daemon listens");
     discard(&conn);
-    let request = FetchRequest {
+    let request = PeerRequest::Fetch(FetchRequest {
         revs: Revs::default(),
-    };
+    });
     let frame = FrameCodec::encode(&request).expect("a small frame");
     let flood = thread::spawn(move || {
         let part = frame.repeat(2_000);
--- a/crates/standin/src/soak/replacements.rs
+++ b/crates/standin/src/soak/replacements.rs
@@ -4,7 +4,7 @@
     crate::{error::StandinError, fleet::Fleet, soak::fault::Build},
     fastrand::Rng,
     serde_json::Value,
-    std::{collections::VecDeque, path::PathBuf, time::Duration},
+    std::{collections::VecDeque, ops::Range, path::PathBuf, time::Duration},
 };
 
 /// The end of the upgrade and the beginning of the downgrade, in fractions of the period in which
@@ -14,6 +14,18 @@
 /// The name in log lines about messages of other daemons that can't be read.
 const REFUSED: &str = "peer-message-refused";
 
+/// The time from the stop of a daemon to the start of its replacement, in milliseconds.
+const GAP_MS: Range<u64> = 200..1_000;
+
+/// The replacement of a daemon by one of a build.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Replacement {
+    pub(crate) build: Build,
+    pub(crate) daemon: usize,
+    /// The time from its stop to the start of the other one.
+    pub(crate) gap: Duration,
+}
+
 /// A daemon's log from the launch of a program on.
 struct Launch {
     build: Build,
@@ -28,7 +40,7 @@
     /// The program of the build in production.
     production: PathBuf,
     /// The replacements that have not begun, each with its time from the start of the soak.
-    schedule: VecDeque<(Duration, usize, Build)>,
+    schedule: VecDeque<(Duration, Replacement)>,
     /// The program of the build under test.
     tested: PathBuf,
 }
@@ -53,7 +65,12 @@
             rng.shuffle(&mut order);
             for (at, daemon) in order.into_iter().enumerate() {
                 let part = from + (to - from) * (at as f64 + 0.5) / daemons as f64;
-                schedule.push_back((duration.mul_f64(part), daemon, build));
+                let replacement = Replacement {
+                    build,
+                    daemon,
+                    gap: Duration::from_millis(rng.u64(GAP_MS)),
+                };
+                schedule.push_back((duration.mul_f64(part), replacement));
             }
         }
         let launch = |daemon| Launch {
@@ -79,13 +96,13 @@
         &mut self,
         elapsed: Duration,
         may_begin: impl Fn(usize) -> bool,
-    ) -> Option<(usize, Build)> {
-        let (at, daemon, build) = self.schedule.front().copied()?;
-        if elapsed < at || !may_begin(daemon) {
+    ) -> Option<Replacement> {
+        let (at, replacement) = self.schedule.front().copied()?;
+        if elapsed < at || !may_begin(replacement.daemon) {
             return None;
         }
         self.schedule.pop_front();
-        Some((daemon, build))
+        Some(replacement)
     }
 
     /// Launches a daemon that isn't running with the program of a build.
--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -9,7 +9,7 @@
         soak::{
             callers::{TimedResult, run_caller},
             fault::Fault,
-            replacements::Replacements,
+            replacements::{Replacement, Replacements},
             report::{History, SoakReport, check},
         },
     },
@@ -221,10 +221,10 @@
         let began = Instant::now();
         let mut next = began;
         while began.elapsed() < duration || !self.is_replaced() {
-            if let Some(fault) = self.take_replacement(began.elapsed()) {
-                let length = Duration::from_millis(self.rng.u64(200..1_000));
+            if let Some(replacement) = self.take_replacement(began.elapsed()) {
+                let fault = Fault::Replace(replacement.daemon, replacement.build);
                 faults.push(format!("{:.2} {fault:?}", began.elapsed().as_secs_f64()));
-                self.begin(fault, length)?;
+                self.begin(fault, replacement.gap)?;
             }
             if Instant::now() >= next && began.elapsed() < duration {
                 let fault = self.draw_fault();
@@ -248,14 +248,14 @@
     }
 
     /// The replacement of a daemon that is to begin now. One daemon is replaced at a time.
-    fn take_replacement(&mut self, elapsed: Duration) -> Option<Fault> {
+    fn take_replacement(&mut self, elapsed: Duration) -> Option<Replacement> {
         let mut replacements = self.replacements.take()?;
         let mut active = self.active.iter();
         let replacing = active.any(|active| matches!(active.fault, Fault::Replace(..)));
         let may_begin = |daemon| !replacing && self.is_undisturbed(daemon);
         let due = replacements.take_due(elapsed, may_begin);
         self.replacements = Some(replacements);
-        due.map(|(daemon, build)| Fault::Replace(daemon, build))
+        due
     }
 
     /// Draws a fault that may begin now.
