--- a/crates/conf/src/bounds.rs
+++ b/crates/conf/src/bounds.rs
@@ -1,4 +1,4 @@
-use unit::Span;
+use {crate::QuotaBounds, unit::Span};
 
 /// Limits that the users set for the fleet as a whole.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,6 +22,8 @@
     pub retry_ratio: f64,
     /// The length of that window; never zero.
     pub retry_window: Span,
+    /// The limits on quotas of client accounts; `None` where accounts have none.
+    pub quotas: Option<QuotaBounds>,
     /// The limits on rollouts; `None` where no version is rolled out.
     pub rollouts: Option<RolloutBounds>,
 }
--- a/crates/daemon/src/account_usage.rs
+++ b/crates/daemon/src/account_usage.rs
@@ -1,11 +1,11 @@
-//! How many requests of each client account this daemon admitted, and what operators see of it.
+//! How many requests of each client account this daemon got, and what operators see of it.
 
 use {
     crate::daemon::Daemon,
     serde_json::{Value, json},
     site::{Account, Config},
     std::sync::Arc,
-    unit::{Map, Name, Rate},
+    unit::{Map, Name, Rate, Time},
 };
 
 /// The accounts that operators see one by one; the others are shown as a sum.
@@ -16,7 +16,7 @@
 pub(crate) struct AccountUsage(Map<Name, u64>);
 
 impl AccountUsage {
-    /// Counts an admitted request.
+    /// Counts a request that came with a key of the account.
     pub(crate) fn count(&mut self, account: &Name) {
         match self.0.get_mut(account) {
             Some(count) => *count += 1,
@@ -37,9 +37,9 @@
 }
 
 impl Daemon {
-    /// The client accounts, without their keys, with the requests that this daemon admitted, and
+    /// The client accounts, without their keys, with the requests that this daemon got, and
     /// those that are not in force as they are configured.
-    pub(crate) fn accounts_json(&self) -> Value {
+    pub(crate) fn accounts_json(&self, now: Time) -> Value {
         let Some(config) = &self.config else {
             return Value::Null;
         };
@@ -57,6 +57,7 @@
                     "burst": account.burst,
                     "priority": account.priority,
                     "requests": requests(account),
+                    "quota": self.quota_json(now, &account.name),
                 })
             })
             .collect();
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -10,7 +10,7 @@
         log_event,
         requests::ActiveRequest,
     },
-    call::{Arrival, CallEvent, CallId, Forwarded},
+    call::{Arrival, CallId, Forwarded},
     forward::ForwardExtended,
     peer::Stage,
     platform::{
@@ -323,7 +323,7 @@
                 .pipeline
                 .push_back(PendingResponse::awaited(id, form.last));
         }
-        self.dispatch(now, CallEvent::Arrived(arrival));
+        self.submit_within_quota(now, arrival);
     }
 
     /// The route of a request, or why it isn't admitted.
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -364,6 +364,7 @@
         for id in pipeline.into_iter().filter_map(|pending| pending.call) {
             let active = match self.calls.remove(&id) {
                 Some(active) => {
+                    self.cancel_quota_wait(id);
                     self.dispatch(now, CallEvent::CallerDisconnected(id));
                     Some(active)
                 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -20,7 +20,7 @@
         timers::Timers,
         workers::LinkState,
     },
-    call::{BodyMemory, CallId, Dispatcher, LinkId, Policy, StartupHold},
+    call::{Arrival, BodyMemory, CallId, Dispatcher, LinkId, Policy, StartupHold},
     conf::Settings,
     mio::{Events, Interest, Poll, Token, net::TcpStream},
     nix::{
@@ -29,6 +29,7 @@
     },
     peer::{HEARTBEAT_PERIOD, Roster, Section, Stage},
     pick::{TransferPrice, WorkerKey, WorkerTable},
+    quota::Quota,
     serde_json::{Value, json},
     site::{Config, View},
     slab::Slab,
@@ -99,6 +100,10 @@
     pub(crate) unread: VecDeque<(usize, u64)>,
     /// The connections to each worker.
     pub(crate) pools: Map<WorkerKey, Pool>,
+    /// The quotas of client accounts.
+    pub(crate) quota: Quota,
+    /// The requests that wait for a token of their account's quota.
+    pub(crate) quota_waits: Map<CallId, Arrival>,
     /// The other daemons of the fleet.
     pub(crate) roster: Roster,
     /// The settings as read at the start; a reload replaces the bounds only.
@@ -185,6 +190,8 @@
             log: Log::start(settings.name.clone()),
             metrics: Metrics::new(),
             next_heartbeat: now,
+            quota: Quota::new(settings.ip, now, fastrand::Rng::new()),
+            quota_waits: Map::default(),
             sections: Vec::new(),
             ticks: 0,
             next_call: 0,
@@ -377,6 +384,7 @@
         let next = [
             Some(self.next_heartbeat),
             self.dispatcher.next_tick(),
+            self.quota.next_tick(),
             self.store.next_tick(),
             self.timers.next_due(),
             self.hold.next_check(),
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -17,7 +17,7 @@
             "centre": self.settings.centre,
             "stage": format!("{:?}", self.stage).to_lowercase(),
             "config": self.config.as_ref().map(|config| config.version),
-            "accounts": self.accounts_json(),
+            "accounts": self.accounts_json(now),
             "problems": self.problems_json(),
             "age_ms": self.roster.staleness(now, &own).as_millis(),
             "watch": format!("{:?}", own.watch).to_lowercase(),
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -239,6 +239,9 @@
         if self.dispatcher.next_tick().is_some_and(|at| at <= now) {
             self.dispatch(now, call::CallEvent::Tick);
         }
+        if self.quota.next_tick().is_some_and(|at| at <= now) {
+            self.quota_tick();
+        }
         while let Some((conn_key, serial)) = self.timers.pop_due(now) {
             self.conn_timeout(now, conn_key, serial);
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 mod peers;
 mod pool;
 mod preview;
+mod quotas;
 mod relays;
 mod requests;
 mod rollouts;
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -57,6 +57,8 @@
     324 ROLLOUT_HALTED "rollout-halted";
     325 ROLLOUT_REMOVED "rollout-removed";
     326 ROLLOUT_PROBLEM "rollout-problem";
+    330 QUOTA_TENURE_BEGAN "quota-tenure-began";
+    331 QUOTA_TENURE_ENDED "quota-tenure-ended";
     400 SENT "sent";
     401 ANSWERED "answered";
     402 PASSED "passed";
@@ -71,6 +73,7 @@
     411 FORWARD_DECLINED "forward-declined";
     412 FORWARD_TAKEN "forward-taken";
     413 KEY_REFUSED "key-refused";
+    414 OVER_QUOTA "over-quota";
     416 SHED "shed";
     500 ACCEPT_FAILED "accept-failed";
     501 TURN_SLOW "turn-slow";
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -46,6 +46,7 @@
         // Once a tick: each change costs a pass over the daemons for every worker that names a limit.
         self.update_table_members();
         self.update_helpers(now);
+        self.update_quota_members(now);
         let own = self.own_state();
         let mut actions = self.roster.tick(now, &own);
         self.ticks += 1;
@@ -244,7 +245,11 @@
                 heartbeat,
                 sections,
             }) => (format, heartbeat, sections),
-            Ok(Datagram::Quota(_) | Datagram::Unknown) => return,
+            Ok(Datagram::Quota(body)) => {
+                self.handle_quota_datagram(&body, from);
+                return;
+            }
+            Ok(Datagram::Unknown) => return,
             Err(error) => {
                 let fields = json!({"peer": from.to_string(), "reason": error.to_string()});
                 self.log_event(now, log_event::PEER_MESSAGE_REFUSED, fields);
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -56,6 +56,7 @@
         let own = self.own_state();
         let actions = self.roster.announce(now, &own);
         self.run_roster_actions(now, actions);
+        self.retire_quotas(now);
         self.close_callers(now, false);
     }
 
--- a/crates/daemon/src/site_changes.rs
+++ b/crates/daemon/src/site_changes.rs
@@ -5,6 +5,7 @@
     pick::WorkerKey,
     serde_json::json,
     site::{Change, Config, Effect, Era, Rev, Topic},
+    std::sync::Arc,
     unit::Time,
 };
 
@@ -61,7 +62,8 @@
                 if let Some(config) = self.config.clone() {
                     self.report_problems(now, &config);
                     self.account_usage.retain(&config);
-                    self.dispatcher.configure(config);
+                    self.dispatcher.configure(Arc::clone(&config));
+                    self.configure_quotas(now, &config);
                 }
             }
             Effect::Evacuation(centre, evacuated) => {
--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -147,6 +147,11 @@
         member.last_heard.is_some_and(|at| now.since(at) < timeout)
     }
 
+    /// Whether all registered daemons have been added.
+    pub const fn knows_registry(&self) -> bool {
+        self.registry_known
+    }
+
     /// How many other daemons are alive.
     pub fn count_alive(&self, now: Time) -> usize {
         let alive = |member: &&Member| self.is_alive(member, now);
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -347,10 +347,11 @@
     }
 
     /// The use of an account; `None` if it has no quota.
-    pub fn usage(&mut self, now: Time, account: &str) -> Option<Usage> {
+    pub fn usage(&self, now: Time, account: &str) -> Option<Usage> {
         let hash = *self.names.get(account)?;
         let grantor = self.leases[shard_of(hash)].holder(now);
-        let state = self.accounts.get_mut(&hash)?;
+        // Reading drops what has expired, which a copy is for.
+        let mut state = self.accounts.get(&hash)?.clone();
         Some(Usage {
             admitted: state.admitted,
             demand: state.demand.per_second(now),
