Daemons ask all members for quota leases unless these have shown that they read none

Change: a member counts as one that reads messages about quotas until it has let a round of offers pass.

--- a/crates/daemon/src/quotas.rs
+++ b/crates/daemon/src/quotas.rs
@@ -3,7 +3,7 @@
 use {
     crate::{daemon::Daemon, log_event, requests::ActiveRequest},
     call::{Arrival, CallEvent, CallId},
-    peer::{Datagram, Format, Stage},
+    peer::{Datagram, Stage},
     platform::problem_response,
     quota::{Admission, Message, QuotaAction, QuotaEvent, RequestId, Voter},
     serde_json::{Value, json},
@@ -67,7 +67,7 @@
         let members = self.roster.members().values();
         let mut voters: Vec<Voter> = members
             .map(|member| {
-                let reads = member.format == Format::Extended;
+                let reads = member.may_read_extended();
                 let alive = self.roster.is_alive(member, now);
                 Voter {
                     eligible: alive && reads && member.stage == Stage::Ready,
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -17,6 +17,7 @@
 mod floods;
 mod notices;
 mod preview;
+mod quotas;
 mod restores;
 mod rollouts;
 mod stops;
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -36,3 +36,11 @@
     /// The state of its watch on the store, by the last heartbeat that was received from it.
     pub watch: Watch,
 }
+
+impl Member {
+    /// Whether it may read extended messages: it has shown that it does, or nothing shows that it
+    /// doesn't. Most daemons of other data centres are known only through gossip, which doesn't tell.
+    pub fn may_read_extended(&self) -> bool {
+        self.format == Format::Extended || !self.handshake.is_refused()
+    }
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -15,7 +15,7 @@
         upstream::Upstream,
         worker_fault::WorkerFault,
     },
-    conf::{RolloutBounds, Settings},
+    conf::{QuotaBounds, RolloutBounds, Settings},
     nix::sys::signal::Signal,
     platform::{SETTINGS_VARIABLE, standin::encode_settings},
     std::{
@@ -48,6 +48,8 @@
     pub program: PathBuf,
     /// Whether daemons reach the store and the workers through proxies, which can inject faults.
     pub proxied: bool,
+    /// The limits on quotas in the daemons' settings; `None` where accounts have none.
+    pub quotas: Option<QuotaBounds>,
     /// The limits on rollouts in the daemons' settings; `None` where there are none.
     pub rollouts: Option<RolloutBounds>,
     /// The time that a worker takes to execute a request.
@@ -63,6 +65,7 @@
             daemon_centres: vec!["a", "a", "b", "b"],
             program: program.to_owned(),
             proxied: false,
+            quotas: None,
             rollouts: None,
             work_time: Duration::from_millis(20),
             worker_centres: vec!["a", "a", "b", "b"],
@@ -362,6 +365,7 @@
                 self.store_proxies.push(proxy);
             }
             let mut settings = settings(&name, centre, ip(at), base, store, ip(0));
+            settings.bounds.quotas = plan.quotas;
             settings.bounds.rollouts = plan.rollouts;
             let settings_file = self.folder.join(format!("{name}.toml"));
             let text = encode_settings(&settings).map_err(io::Error::other)?;
