--- a/crates/call/src/shedding.rs
+++ b/crates/call/src/shedding.rs
@@ -16,8 +16,7 @@
 /// capacity that becomes available is noticed.
 const MIN_LIMIT: f64 = 0.25;
 /// The least delay after which a caller whose request was rejected may return, as a fraction of its
-/// route's latency objective. With half of it, fewer callers were served in time in most
-/// of the plays.
+/// route's latency objective.
 const RETURN_AFTER: f64 = 0.25;
 /// By how much the delay of each caller may be longer, as such a fraction.
 const RETURN_SPREAD: f64 = 0.5;
--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -5,15 +5,15 @@
 };
 
 /// How long a daemon that supports a candidate supports no other.
-pub const LEASE: Span = Span::millis(1_500);
+pub const LEASE: Span = Span::secs(3);
 /// How long a candidate uses a lease, from when it asked for it. The difference covers clocks that
 /// run at different speeds.
-const USABLE: Span = Span::millis(1_450);
+const USABLE: Span = Span::millis(2_900);
 /// The time between two rounds of a grantor; two of them end before a lease does, so that one lost
 /// message does no harm.
-pub(crate) const RENEW_PERIOD: Span = Span::millis(650);
+pub(crate) const RENEW_PERIOD: Span = Span::millis(1_300);
 /// The time between two rounds of a candidate that isn't grantor yet.
-pub(crate) const ELECTION_PERIOD: Span = Span::millis(300);
+pub(crate) const ELECTION_PERIOD: Span = Span::millis(400);
 /// How much later the next candidate in order begins if those before it are silent.
 const CANDIDATE_STEP: Span = Span::millis(300);
 /// How long after its last message a candidate is preferred to those after it in order.
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -23,6 +23,8 @@
 /// In fleets larger than this, each round of a grantor is for half of the daemons. A lost message then
 /// costs a lease for a second or so, but a quorum is left.
 const LARGE_FLEET: usize = 200;
+/// The time within which another daemon mostly becomes grantor.
+const ELECTION_TIME: Span = Span::secs(3);
 /// The most requests of an account that wait at one daemon.
 const MAX_WAITING: usize = 1_000;
 
@@ -684,8 +686,7 @@
         let room_at = if has_grantor {
             state.room_at
         } else {
-            // There will be a grantor within about this time.
-            now + LEASE.scale(self.rng.f64())
+            now + ELECTION_TIME.scale(self.rng.f64())
         };
         state.retry_after(now, room_at, &mut self.rng)
     }
