--- a/crates/call/tests/simulation/rejections.rs
+++ b/crates/call/tests/simulation/rejections.rs
@@ -24,7 +24,7 @@
     timely: u32,
 }
 
-/// Plays a disturbance in which a fraction of the workers rejects all requests for eight seconds,
+/// Plays a disruption in which a fraction of the workers rejects all requests for eight seconds,
 /// and lets them recover for four.
 fn play(daemons: usize, load_fraction: f64) -> Outcome {
     let mut scenario = Scenario::new(Vec::new());
