Log and count what a daemon has used of its share of the retry budget

Event 417 gives for each permit the retries used and allowed in the window and the number of daemons that share; a counter tells granted from refused ones.

--- a/crates/call/src/decision.rs
+++ b/crates/call/src/decision.rs
@@ -1,5 +1,6 @@
 use {
     crate::{AttemptEnding, CallError, CallId, ProbeFailure},
+    limit::RetryUsage,
     pick::WorkerKey,
     site::LoadReport,
     std::net::Ipv4Addr,
@@ -55,6 +56,16 @@
         /// The worker.
         worker: WorkerKey,
     },
+    /// The request is to be sent once more, which takes a permit of the service's retry budget. Not
+    /// recorded for a hedge that gets none, since that is tried again.
+    RetryPermit {
+        /// Whether there was one.
+        granted: bool,
+        /// Whether an earlier attempt is still in flight.
+        hedge: bool,
+        /// What this daemon has used of its share, this permit included.
+        usage: RetryUsage,
+    },
     /// No suitable worker was found, and the last requests of the route waited in vain, so this one
     /// is rejected without a wait. [`Self::Failed`] follows.
     Shed {
--- a/crates/call/src/forwarding.rs
+++ b/crates/call/src/forwarding.rs
@@ -103,7 +103,7 @@
             return false;
         };
         // One permit serves all helpers that are asked: only one of them takes the request.
-        if repeat && first && !self.take_retry_permit(now, &service, selection) {
+        if repeat && first && !self.take_retry_permit(now, id, &service, selection) {
             return false;
         }
         let link = LinkId(self.next_link);
--- a/crates/call/src/sending.rs
+++ b/crates/call/src/sending.rs
@@ -77,8 +77,8 @@
         let hedge = selection == SelectionState::Hedge;
         let service = call.service.clone();
         let prior_sends = call.sends;
-        let permitted =
-            left >= MIN_REMAINING && (!repeat || self.take_retry_permit(now, &service, selection));
+        let permitted = left >= MIN_REMAINING
+            && (!repeat || self.take_retry_permit(now, id, &service, selection));
         if !permitted {
             self.discard_candidate(&candidate);
             if hedge {
@@ -127,17 +127,30 @@
     pub(crate) fn take_retry_permit(
         &mut self,
         now: Time,
+        id: CallId,
         service: &Name,
         selection: SelectionState,
     ) -> bool {
-        let fraction = if selection == SelectionState::Hedge {
+        let hedge = selection == SelectionState::Hedge;
+        let fraction = if hedge {
             self.policy.hedge_fraction
         } else {
             1.0
         };
         let members = self.table.member_count();
-        self.retry_budget(service)
-            .take_permit(now, members, fraction)
+        let budget = self.retry_budget(service);
+        let granted = budget.take_permit(now, members, fraction);
+        let usage = budget.usage(now, members);
+        // A hedge that is refused is tried again every few milliseconds, too often for the log.
+        if granted || !hedge {
+            let decision = Decision::RetryPermit {
+                granted,
+                hedge,
+                usage,
+            };
+            self.record(now, id, decision);
+        }
+        granted
     }
 
     /// Sets the timer at which the request is hedged if it is still in flight: once the worker has
--- a/crates/daemon/src/log_event.rs
+++ b/crates/daemon/src/log_event.rs
@@ -75,6 +75,7 @@
     413 KEY_REFUSED "key-refused";
     414 OVER_QUOTA "over-quota";
     416 SHED "shed";
+    417 RETRY_PERMIT "retry-permit";
     500 ACCEPT_FAILED "accept-failed";
     501 TURN_SLOW "turn-slow";
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -61,6 +61,8 @@
     pub(crate) route_problems: IntGauge,
     /// Requests that matched a route, by the route's kind.
     routed: IntCounterVec,
+    /// Permits to send a request once more, by whether they were granted.
+    retry_permits: IntCounterVec,
     /// Requests sent to workers of services with a rollout, by whether these have the target
     /// version.
     rollout_sends: IntCounterVec,
@@ -188,6 +190,12 @@
                 "Requests that matched a route",
                 "kind",
             ),
+            retry_permits: counter_vec(
+                &registry,
+                "retry_permits_total",
+                "Permits to send a request once more that were asked for",
+                "granted",
+            ),
             rollout_sends: counter_vec(
                 &registry,
                 "rollout_sends_total",
@@ -262,6 +270,10 @@
                 self.sends.with_label_values(&[repeat]).inc();
             }
             Decision::Backoff(_) => self.waits.inc(),
+            Decision::RetryPermit { granted, .. } => {
+                let granted = if *granted { "yes" } else { "no" };
+                self.retry_permits.with_label_values(&[granted]).inc();
+            }
             Decision::Shed { .. } => self.shed.inc(),
             Decision::Declined(_) => self.count_forward("declined"),
             Decision::Forwarded(_) => self.count_forward("sent"),
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -244,6 +244,20 @@
                     "age_ms": self.roster.staleness(now, &self.own_state()).as_millis(),
                 }),
             ),
+            Decision::RetryPermit {
+                granted,
+                hedge,
+                usage,
+            } => (
+                log_event::RETRY_PERMIT,
+                json!({
+                    "granted": granted,
+                    "hedge": hedge,
+                    "used": usage.used,
+                    "allowed": usage.allowed,
+                    "sharers": usage.sharers,
+                }),
+            ),
             Decision::Shed { limit, waiting } => {
                 (log_event::SHED, json!({"limit": limit, "waiting": waiting}))
             }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -12,6 +12,6 @@
     cold_start_budget::{ColdStartBudget, FleetPosition},
     probe_budget::ProbeBudget,
     request_budget::{LOCAL_FRACTION, Placement, RequestBudget},
-    retry_budget::RetryBudget,
+    retry_budget::{RetryBudget, RetryUsage},
     sliding_window::SlidingWindow,
 };
--- a/crates/limit/src/retry_budget.rs
+++ b/crates/limit/src/retry_budget.rs
@@ -19,6 +19,17 @@
     requests: SlidingWindow,
 }
 
+/// What a daemon has used of its share of the limit on retries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// The retries that it may send in the window.
+    pub allowed: f64,
+    /// The number of daemons by which it divides what the fleet may send beyond the ratio.
+    pub sharers: usize,
+    /// The retries that it has sent in the window.
+    pub used: usize,
+}
+
 impl RetryBudget {
     /// A share of a limit that allows, in any `window`, `ratio` retries per request and `extra`
     /// more for the whole fleet.
@@ -48,6 +59,15 @@
         true
     }
 
+    /// What is used of this daemon's share at `now`, with `members` daemons sharing the limit.
+    pub fn usage(&mut self, now: Time, members: usize) -> RetryUsage {
+        RetryUsage {
+            allowed: self.allowed(now, members),
+            sharers: members,
+            used: self.retries.count(now),
+        }
+    }
+
     /// The number of retries that this daemon may send in the window up to `now`.
     fn allowed(&mut self, now: Time, members: usize) -> f64 {
         let requests = self.requests.count(now) as f64;
--- a/crates/limit/tests/shares.rs
+++ b/crates/limit/tests/shares.rs
@@ -202,3 +202,13 @@
         f64::from(total) >= limit * window - 1e-6
     }
 }
+
+#[test]
+fn a_retry_budget_tells_what_of_its_share_is_used() {
+    let mut budget = RetryBudget::new(0.2, 40.0, Span::secs(10));
+    budget.record_request(at(0));
+    assert!(budget.take_permit(at(0), 10, 1.0));
+    let usage = budget.usage(at(0), 10);
+    assert_eq!((usage.used, usage.sharers), (1, 10));
+    assert!((usage.allowed - 3.78).abs() < 1e-9, "{usage:?}");
+}
