--- a/crates/call/benches/ways.rs
+++ b/crates/call/benches/ways.rs
@@ -10,6 +10,8 @@
 
 #[path = "../tests/simulation/report.rs"]
 mod report;
+#[path = "../tests/simulation/retry_rule.rs"]
+mod retry_rule;
 #[path = "../tests/simulation/scenario.rs"]
 mod scenario;
 #[path = "../tests/simulation/sim_daemon.rs"]
--- a/crates/call/tests/dispatcher/failures.rs
+++ b/crates/call/tests/dispatcher/failures.rs
@@ -178,3 +178,20 @@
     let others = harness.advance_answering(Span::millis(100), &idle_health());
     assert!(matches!(others[..], [CallAction::Send(..)]), "{others:?}");
 }
+
+/// Guards against a daemon that has just started and divides the fleet's extra retries among the few
+/// daemons that it knows by then.
+#[test]
+fn a_daemon_without_a_share_of_the_fleets_limits_uses_no_extra_retries() {
+    let mut policy = Policy::new(bounds());
+    policy.bounds.retry_extra = 50.0;
+    let mut harness = Harness::with_policy(&["x", "y"], policy);
+    harness.dispatcher.table.allow_shares_from(None);
+    let route = Arc::new(route("r", RouteKind::Idempotent));
+    let first = harness.start_attempt(&route);
+    harness.end_attempt(first, AttemptEnding::NotRun);
+    let second = harness.next_probe();
+    harness.answer_probe(second, idle_health());
+    assert_eq!(harness.next_action(), CallAction::Release(second));
+    assert!(matches!(harness.next_error(), CallError::NotRun(_)));
+}
--- a/crates/call/tests/simulation/main.rs
+++ b/crates/call/tests/simulation/main.rs
@@ -12,6 +12,8 @@
 mod loads;
 mod rejections;
 mod report;
+mod restarts;
+mod retry_rule;
 mod scenario;
 mod shedding;
 mod sim_daemon;
--- a/crates/call/tests/simulation/simulation.rs
+++ b/crates/call/tests/simulation/simulation.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         report::Report,
+        retry_rule::RetryRule,
         scenario::{Scenario, Workload},
         sim_daemon::{self, SimCaller, SimDaemon, bounds, route},
         sim_worker::{Job, SimWorker},
@@ -51,11 +52,8 @@
     now: Time,
     /// Requests that arrived at workers which turn all away.
     pub(crate) rejected: usize,
-    /// Attempts beyond the first of each request: retries and hedges.
-    repeats: usize,
-    /// Requests that the daemons received from callers.
-    requests: usize,
     reports: Vec<Report>,
+    pub(crate) retry_rule: RetryRule,
     rng: Rng,
     routes: Vec<Arc<Route>>,
     /// How many times each request of each daemon was sent to a worker.
@@ -84,8 +82,7 @@
             next_call: 0,
             now,
             rejected: 0,
-            repeats: 0,
-            requests: 0,
+            retry_rule: RetryRule::default(),
             reports: vec![Report::default(); scenario.workloads.len()],
             rng: Rng::with_seed(scenario.seed),
             routes: scenario
@@ -118,9 +115,7 @@
         for worker in &self.workers {
             assert!(worker.probes as f64 <= limit, "{} probes", worker.probes);
         }
-        let windows = (span.as_secs() / bounds.retry_window.as_secs()).ceil();
-        let limit = bounds.retry_ratio * self.requests as f64 + bounds.retry_extra * windows;
-        assert!(self.repeats as f64 <= limit, "{} repeats", self.repeats);
+        self.retry_rule.check(&bounds);
     }
 
     /// Evacuates the data centre with an index.
@@ -131,6 +126,24 @@
         }
     }
 
+    /// Kills the daemon with an index and starts it again. What it had in flight is cancelled, and
+    /// its callers give up.
+    pub(crate) fn restart(&mut self, daemon_index: usize, policy: Policy) {
+        let daemon = SimDaemon::new(daemon_index, &self.scenario, policy, self.now);
+        let old = std::mem::replace(&mut self.daemons[daemon_index], daemon);
+        for (link, worker) in old.links {
+            self.workers[worker].cancel(daemon_index, link);
+        }
+        let is_lost = |message: &Message| match message {
+            Message::Request(_, job) => job.daemon == daemon_index,
+            Message::Retry(_) => false,
+            Message::ToDaemon(index, _) => *index == daemon_index,
+        };
+        for messages in self.messages.values_mut() {
+            messages.retain(|message| !is_lost(message));
+        }
+    }
+
     /// Begins to count anew.
     pub(crate) fn clear_reports(&mut self) {
         self.reports.fill(Report::default());
@@ -143,7 +156,7 @@
     /// The mean number of attempts of a request that daemons received.
     pub(crate) fn tries(&self) -> f64 {
         let sends: u32 = self.sends.values().sum();
-        f64::from(sends) / self.requests as f64
+        f64::from(sends) / self.retry_rule.requests.len() as f64
     }
 
     /// How many daemons know of a limit of the worker with an index.
@@ -230,7 +243,7 @@
         let daemon_index = self.rng.usize(..self.daemons.len());
         let call = CallId(self.next_call);
         self.next_call += 1;
-        self.requests += 1;
+        self.retry_rule.requests.push(self.now);
         let workload = &self.scenario.workloads[caller.workload];
         let timeout = Some((caller.first + workload.limit).since(self.now));
         let route = Arc::clone(&self.routes[caller.workload]);
@@ -370,7 +383,9 @@
         let worker = self.daemons[daemon_index].links[&link];
         let workload = self.daemons[daemon_index].callers[&call].workload;
         let sends = self.sends.entry((daemon_index, call)).or_default();
-        self.repeats += usize::from(*sends > 0);
+        if *sends > 0 {
+            self.retry_rule.repeats.push(self.now);
+        }
         *sends += 1;
         let mean_ms = self.scenario.workloads[workload].work.as_secs() * 1_000.0;
         let left = mean_ms * (0.6 + 0.8 * self.rng.f64());
--- a/crates/daemon/tests/failures/main.rs
+++ b/crates/daemon/tests/failures/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod accounts;
+mod budgets;
 mod callers;
 mod changes;
 mod crashes;
