A process run has no extra retries until a whole window has passed

Cause: each daemon keeps to its share of the fleet's extra retries by what it remembers of the last window. A process that starts again remembers nothing and has a whole share at once, so each restart in a window adds one. The class: a sum over the fleet that is kept by shares, where a share's state dies with its process.

Change: the share of a process run begins one window after its start; until then it may send only the ratio, which follows from its own requests. Whatever the run before it sent lies before its start, so the sum holds for any number of restarts. Nothing has to be stored or told. Ruled out: a bucket that starts empty, which is as strict but halves what a daemon that never restarts may send at once; asking other daemons, which know nothing after a restart of all.

--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -63,6 +63,8 @@
     pub rollouts: Map<Name, Rollout>,
     /// The time of the event that is being handled.
     pub(crate) now: Time,
+    /// When this process run began.
+    pub(crate) started: Time,
     /// The weighted split of each route, by the route's name.
     pub(crate) splits: Map<Name, Split>,
     /// Workers that may have crashed.
@@ -89,8 +91,8 @@
 }
 
 impl Dispatcher {
-    /// Creates a dispatcher without requests.
-    pub fn new(policy: Policy, table: WorkerTable, rng: Rng) -> Self {
+    /// Creates a dispatcher without requests, of a process run that began at `started`.
+    pub fn new(policy: Policy, table: WorkerTable, rng: Rng, started: Time) -> Self {
         Self {
             accounts: Accounts::default(),
             actions: Vec::new(),
@@ -113,6 +115,7 @@
             rollouts: Map::default(),
             now: Time::ZERO,
             splits: Map::default(),
+            started,
             suspicions: Vec::new(),
             table,
             new_crashes: Vec::new(),
@@ -272,12 +275,24 @@
 
     /// This daemon's share of the limit on retries and hedges of a service's requests.
     pub(crate) fn retry_budget(&mut self, service: &Name) -> &mut RetryBudget {
+        let unused = self.unused_retry_budget();
+        self.retry_budgets.entry(service.clone()).or_insert(unused)
+    }
+
+    /// Whether this daemon has a share of the retries that the fleet may send beyond the ratio.
+    pub fn has_extra_retries(&self, now: Time) -> bool {
+        self.unused_retry_budget().has_extra(now)
+    }
+
+    /// The budget of a service that has had no requests.
+    fn unused_retry_budget(&self) -> RetryBudget {
         let bounds = &self.policy.bounds;
-        self.retry_budgets
-            .entry(service.clone())
-            .or_insert_with(|| {
-                RetryBudget::new(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window)
-            })
+        RetryBudget::new(
+            bounds.retry_ratio,
+            bounds.retry_extra,
+            bounds.retry_window,
+            self.started,
+        )
     }
 
     /// The estimated latency of the request's route, to be updated.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -182,7 +182,7 @@
             config: None,
             conns: Slab::new(),
             failed_accepts: Set::default(),
-            dispatcher: Dispatcher::new(policy, table, fastrand::Rng::new()),
+            dispatcher: Dispatcher::new(policy, table, fastrand::Rng::new(), now),
             call_events: VecDeque::new(),
             fetching: false,
             links: Map::default(),
--- a/crates/daemon/tests/failures/support.rs
+++ b/crates/daemon/tests/failures/support.rs
@@ -25,6 +25,16 @@
     Fleet::start(&default_plan()).expect("a fleet")
 }
 
+/// Waits until all daemons have a share of the retries that the fleet may send beyond the ratio,
+/// which they haven't right after their start.
+pub(crate) fn wait_for_retries(fleet: &Fleet) {
+    for at in 0..fleet.size() {
+        wait_until("the daemon has extra retries", || {
+            state_dump(fleet, at)["extra_retries"] == true
+        });
+    }
+}
+
 /// A caller whose requests have a deadline of two seconds.
 pub(crate) fn new_caller(name: &str) -> Caller {
     Caller::new(name, Span::secs(2))
--- a/crates/limit/src/retry_budget.rs
+++ b/crates/limit/src/retry_budget.rs
@@ -17,6 +17,10 @@
     ratio: f64,
     retries: SlidingWindow,
     requests: SlidingWindow,
+    /// When this process run began. The run before it may have used its share of `extra` up to
+    /// then, so this one has none until a whole window has passed.
+    started: Time,
+    window: Span,
 }
 
 /// What a daemon has used of its share of the limit on retries.
@@ -31,14 +35,16 @@
 }
 
 impl RetryBudget {
-    /// A share of a limit that allows, in any `window`, `ratio` retries per request and `extra`
-    /// more for the whole fleet.
-    pub fn new(ratio: f64, extra: f64, window: Span) -> Self {
+    /// The share of a process run that began at `started`, of a limit that allows, in any `window`,
+    /// `ratio` retries per request and `extra` more for the whole fleet.
+    pub fn new(ratio: f64, extra: f64, window: Span, started: Time) -> Self {
         Self {
             extra,
             ratio,
             retries: SlidingWindow::new(window),
             requests: SlidingWindow::new(window),
+            started,
+            window,
         }
     }
 
@@ -59,6 +65,11 @@
         true
     }
 
+    /// Whether this process run has a share of the retries beyond the ratio.
+    pub fn has_extra(&self, now: Time) -> bool {
+        now.since(self.started) >= self.window
+    }
+
     /// What is used of this daemon's share at `now`, with `members` daemons sharing the limit.
     pub fn usage(&mut self, now: Time, members: usize) -> RetryUsage {
         RetryUsage {
@@ -71,7 +82,11 @@
     /// The number of retries that this daemon may send in the window up to `now`.
     fn allowed(&mut self, now: Time, members: usize) -> f64 {
         let requests = self.requests.count(now) as f64;
-        let extra = self.extra / members.max(1) as f64;
+        let extra = if self.has_extra(now) {
+            self.extra / members.max(1) as f64
+        } else {
+            0.0
+        };
         (self.ratio * requests + extra) * MARGIN
     }
 }
