Extra retries only while a daemon may use its shares of the fleet's limits

Cause: shares of cold workers and of workers that name a limit wait until the daemon is registered, so that it knows the others and they count it; the retry budget asked only how many daemons it knows at the moment.

Change: WorkerTable::sharers gives the number of daemons only while shares may be used; without it the budget is the ratio alone.

--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -279,9 +279,9 @@
         self.retry_budgets.entry(service.clone()).or_insert(unused)
     }
 
-    /// Whether this daemon has a share of the retries that the fleet may send beyond the ratio.
+    /// Whether this daemon may use a share of the retries that the fleet may send beyond the ratio.
     pub fn has_extra_retries(&self, now: Time) -> bool {
-        self.unused_retry_budget().has_extra(now)
+        self.table.sharers(now).is_some() && self.unused_retry_budget().has_extra(now)
     }
 
     /// The budget of a service that has had no requests.
--- a/crates/call/src/sending.rs
+++ b/crates/call/src/sending.rs
@@ -137,10 +137,10 @@
         } else {
             1.0
         };
-        let members = self.table.member_count();
+        let sharers = self.table.sharers(now);
         let budget = self.retry_budget(service);
-        let granted = budget.take_permit(now, members, fraction);
-        let usage = budget.usage(now, members);
+        let granted = budget.take_permit(now, sharers, fraction);
+        let usage = budget.usage(now, sharers);
         // A hedge that is refused is tried again every few milliseconds, too often for the log.
         if granted || !hedge {
             let decision = Decision::RetryPermit {
--- a/crates/limit/src/retry_budget.rs
+++ b/crates/limit/src/retry_budget.rs
@@ -28,8 +28,9 @@
 pub struct RetryUsage {
     /// The retries that it may send in the window.
     pub allowed: f64,
-    /// The number of daemons by which it divides what the fleet may send beyond the ratio.
-    pub sharers: usize,
+    /// The number of daemons by which it divides what the fleet may send beyond the ratio; `None`
+    /// if it must send none of that.
+    pub sharers: Option<usize>,
     /// The retries that it has sent in the window.
     pub used: usize,
 }
@@ -53,10 +54,11 @@
         self.requests.add(now);
     }
 
-    /// Takes a permit for one retry, with `members` daemons sharing the limit. The permit is
-    /// granted only while this daemon's retries stay within `fraction` of its share.
-    pub fn take_permit(&mut self, now: Time, members: usize, fraction: f64) -> bool {
-        let allowed = self.allowed(now, members) * fraction;
+    /// Takes a permit for one retry. The permit is granted only while this daemon's retries stay
+    /// within `fraction` of its share. `sharers` daemons share the limit; `None` if this one may not
+    /// know them all, or they may not count it, so that it must send no extra retries.
+    pub fn take_permit(&mut self, now: Time, sharers: Option<usize>, fraction: f64) -> bool {
+        let allowed = self.allowed(now, sharers) * fraction;
         let used = self.retries.count(now) as f64;
         if used + 1.0 > allowed {
             return false;
@@ -65,28 +67,25 @@
         true
     }
 
-    /// Whether this process run has a share of the retries beyond the ratio.
+    /// Whether this process run may send retries beyond the ratio by its age.
     pub fn has_extra(&self, now: Time) -> bool {
         now.since(self.started) >= self.window
     }
 
-    /// What is used of this daemon's share at `now`, with `members` daemons sharing the limit.
-    pub fn usage(&mut self, now: Time, members: usize) -> RetryUsage {
+    /// What is used of this daemon's share at `now`, with `sharers` as for [`Self::take_permit`].
+    pub fn usage(&mut self, now: Time, sharers: Option<usize>) -> RetryUsage {
         RetryUsage {
-            allowed: self.allowed(now, members),
-            sharers: members,
+            allowed: self.allowed(now, sharers),
+            sharers,
             used: self.retries.count(now),
         }
     }
 
     /// The number of retries that this daemon may send in the window up to `now`.
-    fn allowed(&mut self, now: Time, members: usize) -> f64 {
+    fn allowed(&mut self, now: Time, sharers: Option<usize>) -> f64 {
         let requests = self.requests.count(now) as f64;
-        let extra = if self.has_extra(now) {
-            self.extra / members.max(1) as f64
-        } else {
-            0.0
-        };
+        let sharers = sharers.filter(|_| self.has_extra(now));
+        let extra = sharers.map_or(0.0, |count| self.extra / count.max(1) as f64);
         (self.ratio * requests + extra) * MARGIN
     }
 }
--- a/crates/limit/tests/shares.rs
+++ b/crates/limit/tests/shares.rs
@@ -88,7 +88,7 @@
                 if kind < 3 {
                     budgets[daemon].record_request(at(time));
                     requests.push(time);
-                } else if budgets[daemon].take_permit(at(time), count, 1.0) {
+                } else if budgets[daemon].take_permit(at(time), Some(count), 1.0) {
                     retries.push(time);
                 }
             }
@@ -136,8 +136,8 @@
 #[test]
 fn a_part_of_the_retry_budget_is_kept_for_retries_after_failures() {
     let mut budget = RetryBudget::new(0.2, 40.0, Span::secs(10), at(0));
-    while budget.take_permit(at(10_000), 10, 0.5) {}
-    assert!(budget.take_permit(at(10_000), 10, 1.0));
+    while budget.take_permit(at(10_000), Some(10), 0.5) {}
+    assert!(budget.take_permit(at(10_000), Some(10), 1.0));
 }
 
 /// The placement of the daemon with an index, where the first `local` ones are in the worker's data
@@ -213,15 +213,15 @@
 fn a_retry_budget_tells_what_of_its_share_is_used() {
     let mut budget = RetryBudget::new(0.2, 40.0, Span::secs(10), at(0));
     budget.record_request(at(10_000));
-    assert!(budget.take_permit(at(10_000), 10, 1.0));
-    let usage = budget.usage(at(10_000), 10);
-    assert_eq!((usage.used, usage.sharers), (1, 10));
+    assert!(budget.take_permit(at(10_000), Some(10), 1.0));
+    let usage = budget.usage(at(10_000), Some(10));
+    assert_eq!((usage.used, usage.sharers), (1, Some(10)));
     assert!((usage.allowed - 3.78).abs() < 1e-9, "{usage:?}");
 }
 
 #[test]
 fn a_process_has_no_extra_retries_in_its_first_window() {
     let mut budget = RetryBudget::new(0.2, 40.0, Span::secs(10), at(5_000));
-    assert!(!budget.take_permit(at(14_999), 10, 1.0));
-    assert!(budget.take_permit(at(15_000), 10, 1.0));
+    assert!(!budget.take_permit(at(14_999), Some(10), 1.0));
+    assert!(budget.take_permit(at(15_000), Some(10), 1.0));
 }
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -32,8 +32,7 @@
     pub(crate) records: Map<WorkerKey, WorkerRecord>,
     /// This daemon's data centre.
     pub(crate) centre: Name,
-    /// When this daemon may begin to send to cold workers and to those that name a limit; `None`
-    /// while it must not.
+    /// When this daemon may begin to use its shares of the fleet's limits; `None` while it must not.
     shares_from: Option<Time>,
     /// The evacuated data centres.
     evacuated: Set<Name>,
@@ -254,13 +253,24 @@
         record.probe_budget.take_permit(now, rate)
     }
 
-    /// Lets this daemon send to cold workers and to those that name a limit from `at` on, or not at
-    /// all for `None`. It must not start before all other daemons count it among those that share
-    /// these limits.
+    /// Lets this daemon use its shares of the fleet's limits from `at` on, or not at all for `None`:
+    /// those of cold workers, of workers that name a limit, and of extra retries. It must not start
+    /// before it knows all daemons that share these limits, and all of them count it.
     pub fn allow_shares_from(&mut self, at: Option<Time>) {
         self.shares_from = at;
     }
 
+    /// The number of daemons that share the fleet's limits; `None` while this one must not use its
+    /// shares.
+    pub fn sharers(&self, now: Time) -> Option<usize> {
+        self.has_shares(now).then(|| self.fleet.count())
+    }
+
+    /// Whether this daemon may use its shares of the fleet's limits.
+    fn has_shares(&self, now: Time) -> bool {
+        self.shares_from.is_some_and(|at| now >= at)
+    }
+
     /// Takes a permit to send a request to a worker without a probe. Granted if the worker is warm,
     /// its last probe is younger than `max_age`, and fewer than `max_requests` permits were granted
     /// since that probe.
@@ -286,7 +296,7 @@
     /// Takes a permit for one request to a worker that is cold or may be, where `fleet_limit` is
     /// the number of requests per second that the worker may get from all daemons together.
     pub fn take_cold_permit(&mut self, key: WorkerKey, now: Time, fleet_limit: f64) -> bool {
-        if self.shares_from.is_none_or(|at| now < at) {
+        if !self.has_shares(now) {
             return false;
         }
         let Some(record) = self.records.get(&key) else {
@@ -470,8 +480,7 @@
 
     /// Whether a request of this daemon may reach a worker now, by what the worker says of itself.
     pub(crate) fn is_open(&self, record: &WorkerRecord, now: Time) -> bool {
-        let shares = self.shares_from.is_some_and(|at| now >= at);
-        record.is_open(now) && (shares || record.rate_limit().is_none())
+        record.is_open(now) && (self.has_shares(now) || record.rate_limit().is_none())
     }
 
     /// Sets this daemon's share of the limit that a worker names, if it does.
