Shares wait until what the process run before sent to cold workers is out of their windows

Change: WorkerTable knows when its process began and gives no shares within COLD_START_WINDOW of that. The dispatcher takes the start of its retry budgets from there, so that it is kept once.

--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -63,8 +63,6 @@
     pub rollouts: Map<Name, Rollout>,
     /// The time of the event that is being handled.
     pub(crate) now: Time,
-    /// When this process run began.
-    pub(crate) started: Time,
     /// The weighted split of each route, by the route's name.
     pub(crate) splits: Map<Name, Split>,
     /// Workers that may have crashed.
@@ -91,8 +89,8 @@
 }
 
 impl Dispatcher {
-    /// Creates a dispatcher without requests, of a process run that began at `started`.
-    pub fn new(policy: Policy, table: WorkerTable, rng: Rng, started: Time) -> Self {
+    /// Creates a dispatcher without requests.
+    pub fn new(policy: Policy, table: WorkerTable, rng: Rng) -> Self {
         Self {
             accounts: Accounts::default(),
             actions: Vec::new(),
@@ -115,7 +113,6 @@
             rollouts: Map::default(),
             now: Time::ZERO,
             splits: Map::default(),
-            started,
             suspicions: Vec::new(),
             table,
             new_crashes: Vec::new(),
@@ -291,7 +288,7 @@
             bounds.retry_ratio,
             bounds.retry_extra,
             bounds.retry_window,
-            self.started,
+            self.table.started(),
         )
     }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -165,7 +165,7 @@
             operator_port: listen.operators.map(|address| address.port()),
             peer_port: port,
         };
-        let table = WorkerTable::new(settings.name.clone(), settings.centre.clone());
+        let table = WorkerTable::new(settings.name.clone(), settings.centre.clone(), now);
         let policy = Policy {
             transfer_price,
             ..Policy::new(settings.bounds)
@@ -182,7 +182,7 @@
             config: None,
             conns: Slab::new(),
             failed_accepts: Set::default(),
-            dispatcher: Dispatcher::new(policy, table, fastrand::Rng::new(), now),
+            dispatcher: Dispatcher::new(policy, table, fastrand::Rng::new()),
             call_events: VecDeque::new(),
             fetching: false,
             links: Map::default(),
--- a/crates/limit/src/cold_start_budget.rs
+++ b/crates/limit/src/cold_start_budget.rs
@@ -5,7 +5,7 @@
 
 /// The length of the window in which the requests to a cold worker are counted: one second, plus
 /// the time by which two requests may move closer together in transit.
-const WINDOW: Span = Span::millis(1_150);
+pub const COLD_START_WINDOW: Span = Span::millis(1_150);
 /// The fraction of the fleet's limit that the daemons use together. The rest covers moments in
 /// which their views of the membership differ.
 const MARGIN: f64 = 0.9;
@@ -29,7 +29,7 @@
 impl Default for ColdStartBudget {
     fn default() -> Self {
         Self {
-            sent: SlidingWindow::new(WINDOW),
+            sent: SlidingWindow::new(COLD_START_WINDOW),
         }
     }
 }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -9,7 +9,7 @@
 mod sliding_window;
 
 pub use {
-    cold_start_budget::{ColdStartBudget, FleetPosition},
+    cold_start_budget::{COLD_START_WINDOW, ColdStartBudget, FleetPosition},
     probe_budget::ProbeBudget,
     request_budget::{LOCAL_FRACTION, Placement, RequestBudget},
     retry_budget::{RetryBudget, RetryUsage},
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -3,7 +3,7 @@
         AttemptOutcome, LimitNews, NoticeSource, Standing, WorkerKey, WorkerRecord, fleet::Fleet,
     },
     fastrand::Rng,
-    limit::LOCAL_FRACTION,
+    limit::{COLD_START_WINDOW, LOCAL_FRACTION},
     rollout::Lane,
     site::{Departure, HealthReport, LoadReport, Notice, Service, Worker, WorkerState},
     std::cell::Cell,
@@ -34,6 +34,8 @@
     pub(crate) centre: Name,
     /// When this daemon may begin to use its shares of the fleet's limits; `None` while it must not.
     shares_from: Option<Time>,
+    /// When this process run began. The runs of this daemon before it used its shares up to then.
+    started: Time,
     /// The evacuated data centres.
     evacuated: Set<Name>,
     /// How many workers were looked at to select one.
@@ -54,13 +56,14 @@
 }
 
 impl WorkerTable {
-    /// A table without workers, for the daemon `name` in `centre`.
-    pub fn new(name: Name, centre: Name) -> Self {
+    /// A table without workers, for the daemon `name` in `centre` whose process began at `started`.
+    pub fn new(name: Name, centre: Name, started: Time) -> Self {
         Self {
             records: Map::default(),
             fleet: Fleet::new(name, centre.clone()),
             centre,
             shares_from: None,
+            started,
             evacuated: Set::default(),
             examined: Cell::new(0),
             first_lane: Lane::Open,
@@ -255,9 +258,17 @@
 
     /// Lets this daemon use its shares of the fleet's limits from `at` on, or not at all for `None`:
     /// those of cold workers, of workers that name a limit, and of extra retries. It must not start
-    /// before it knows all daemons that share these limits, and all of them count it.
+    /// before it knows all daemons that share these limits, and all of them count it. It doesn't
+    /// start either before what the process run before this one sent to cold workers is out of
+    /// their windows.
     pub fn allow_shares_from(&mut self, at: Option<Time>) {
-        self.shares_from = at;
+        let earliest = self.started + COLD_START_WINDOW;
+        self.shares_from = at.map(|at| at.max(earliest));
+    }
+
+    /// When this process run began.
+    pub const fn started(&self) -> Time {
+        self.started
     }
 
     /// The number of daemons that share the fleet's limits; `None` while this one must not use its
--- a/crates/standin/src/fuzz/target.rs
+++ b/crates/standin/src/fuzz/target.rs
@@ -329,7 +329,7 @@
 }
 
 fn apply(view: &mut View, changes: Vec<Change>) {
-    let mut table = WorkerTable::new("d-0".into(), "a".into());
+    let mut table = WorkerTable::new("d-0".into(), "a".into(), Time::ZERO);
     for change in changes {
         for effect in view.apply(change, now()) {
             if let site::Effect::Worker(worker) = effect {
@@ -360,7 +360,7 @@
         drop(roster.handle_heartbeat(now(), &heartbeat, format, &own));
     }
     drop(roster.tick(now() + Span::secs(1), &own));
-    let mut table = WorkerTable::new("d-0".into(), "a".into());
+    let mut table = WorkerTable::new("d-0".into(), "a".into(), Time::ZERO);
     let key = table.upsert(worker(), now());
     for entry in heartbeat.news.iter().flat_map(|news| &news.limits) {
         let news = LimitNews {
@@ -455,7 +455,7 @@
 fn handle_response(response: &Response) {
     let head = read_response_head(response);
     let health = read_health(response);
-    let mut table = WorkerTable::new("d-0".into(), "a".into());
+    let mut table = WorkerTable::new("d-0".into(), "a".into(), Time::ZERO);
     let key = table.upsert(worker(), now());
     let source = pick::NoticeSource::Response;
     table.record_notice(key, now(), Span::secs(2), source, head.notice);
