A daemon counts as registered once it knows the others

Change: the list of all entries comes first; the daemon reports both at once. The new test fails on the code before (registered without a list) and passes now. Two tests asserted the old order: one now expects no event before the list, the other completes the list first.

--- a/crates/store/src/action.rs
+++ b/crates/store/src/action.rs
@@ -44,8 +44,8 @@
     Members(Vec<(Rev, MemberEntry)>),
     /// The store responds again after a failure.
     Recovered,
-    /// This daemon has an entry in the store. `true` if the entry is new, so that other daemons
-    /// don't know of it yet.
+    /// This daemon has an entry in the store and knows those of the others, which follow as
+    /// [`Self::Members`]. `true` if the entry may be new, so that others don't know of it yet.
     Registered(bool),
     /// The store came back from an older copy and is in this era.
     Restored(Era),
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -77,7 +77,7 @@
 
     /// Schedules the registration's next call after a failed one.
     pub(crate) fn retry_registration(&mut self, now: Time) {
-        self.registration.create_failed |=
+        self.registration.maybe_new |=
             matches!(self.registration.phase, RegistrationPhase::Creating(_));
         let delay = self.registration.backoff.next(&mut self.rng);
         self.registration.phase = RegistrationPhase::Due(now + delay);
@@ -93,14 +93,10 @@
                 self.registered_again(now, reply == StoreReply::Conflict);
             }
             // A conflict means that the entry exists, which also settles an earlier call to create
-            // it whose result was lost.
+            // it whose result was lost. The daemon is registered once it knows the others too.
             StoreReply::Conflict | StoreReply::Done => {
-                let create_failed = self.registration.create_failed;
-                let new = reply == StoreReply::Done || create_failed;
-                self.registration.registered = true;
+                self.registration.maybe_new |= reply == StoreReply::Done;
                 self.registration.lost = false;
-                self.actions
-                    .push(StoreAction::Notify(StoreEvent::Registered(new)));
                 self.list_members(None, Vec::new(), false);
             }
             StoreReply::Page { next, objects, .. } => self.handle_member_page(now, next, objects),
@@ -153,7 +149,7 @@
             }
             _ => {
                 if !self.registration.registered {
-                    let new = self.registration.create_failed;
+                    let new = self.registration.maybe_new;
                     self.registration.registered = true;
                     self.actions
                         .push(StoreAction::Notify(StoreEvent::Registered(new)));
--- a/crates/store/src/registration.rs
+++ b/crates/store/src/registration.rs
@@ -30,10 +30,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Registration {
     pub(crate) backoff: Backoff,
-    /// Whether the entry is known to exist.
+    /// Whether the entry is known to exist, and all others that exist have been listed.
     pub(crate) registered: bool,
-    /// Whether a call to create the entry failed. It may still have taken effect.
-    pub(crate) create_failed: bool,
+    /// Whether this run created the entry or may have: a call to create it that failed may still
+    /// have taken effect.
+    pub(crate) maybe_new: bool,
     /// Whether the store came back from an older copy that may lack the entry.
     pub(crate) lost: bool,
     pub(crate) own_entry: MemberEntry,
@@ -45,7 +46,7 @@
         Self {
             backoff: Backoff::default(),
             registered: false,
-            create_failed: false,
+            maybe_new: false,
             lost: false,
             own_entry,
             phase: RegistrationPhase::Due(now),
--- a/crates/store/tests/client/members.rs
+++ b/crates/store/tests/client/members.rs
@@ -44,7 +44,6 @@
     harness.advance(Span::ZERO);
     harness.complete(is_stale_list, Ok(page(Vec::new(), 1)));
     harness.complete(is_create, Ok(StoreReply::Conflict));
-    assert_eq!(harness.events, [StoreEvent::Registered(false)]);
     let is_fresh_list = |call: &StoreCall| {
         matches!(
             call,
@@ -54,7 +53,29 @@
             }
         )
     };
-    assert!(harness.is_pending(is_fresh_list));
+    // A daemon that is registered uses its shares of the fleet's limits, so it must know the others.
+    assert_eq!(harness.events, []);
+    let own = Object::Member(at_rev(2), entry("front-a-1", 1));
+    harness.complete(is_fresh_list, Ok(page(vec![own], 2)));
+    let [StoreEvent::Registered(false), StoreEvent::Members(_)] = &harness.events[..] else {
+        panic!("{:?}", harness.events);
+    };
+}
+
+/// Guards against a daemon that divides the fleet's limits among the few daemons it knows when the
+/// store fails right after its entry was created.
+#[test]
+fn a_daemon_that_cannot_list_the_others_is_not_registered() {
+    let mut harness = Harness::new();
+    harness.advance(Span::ZERO);
+    harness.complete(is_stale_list, Ok(page(Vec::new(), 1)));
+    harness.complete(is_create, Ok(StoreReply::Done));
+    harness.complete(is_member_list, Err(StoreCallError::Timeout));
+    assert!(!harness.events.contains(&StoreEvent::Registered(true)));
+    harness.advance(Span::secs(1));
+    let own = Object::Member(at_rev(2), entry("front-a-1", 1));
+    harness.complete(is_stale_list, Ok(page(vec![own], 2)));
+    assert!(harness.events.contains(&StoreEvent::Registered(true)));
 }
 
 #[test]
@@ -81,8 +102,9 @@
     harness.advance(Span::secs(1));
     harness.complete(is_stale_list, Ok(page(Vec::new(), 1)));
     harness.complete(is_create, Ok(StoreReply::Conflict));
+    let own = Object::Member(at_rev(2), entry("front-a-1", 1));
+    harness.complete(is_member_list, Ok(page(vec![own], 2)));
     assert!(harness.events.contains(&StoreEvent::Registered(true)));
-    assert!(harness.is_pending(is_member_list));
 }
 
 #[test]
