A daemon that was isolated registers again once it hears another one

Change: when it hears one of the others again it looks for its entry, writes it if it was removed, and reports itself registered as new. The store client's test covers the report (the call is new); that a real daemon does so after five minutes was not played.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -75,6 +75,8 @@
     pub(crate) call_events: VecDeque<call::CallEvent>,
     /// Whether a fetch of changes from another daemon is in progress; there is at most one.
     pub(crate) fetching: bool,
+    /// Whether it has heard no other daemon for so long that the others may treat it as gone.
+    pub(crate) isolated: bool,
     /// Uses of worker connections that are in progress, and responses that the dispatcher has not
     /// decided on yet.
     pub(crate) links: Map<LinkId, LinkState>,
@@ -185,6 +187,7 @@
             dispatcher: Dispatcher::new(policy, table, fastrand::Rng::new()),
             call_events: VecDeque::new(),
             fetching: false,
+            isolated: false,
             links: Map::default(),
             listeners,
             log: Log::start(settings.name.clone()),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -58,16 +58,25 @@
         self.update_store_role(now);
         self.check_ready(now);
         self.log_peer_changes(now);
-        if self.roster.is_isolated(now) {
-            // The other daemons may treat this daemon as gone and divide its shares of the limits of
-            // cold workers, and of those that name a limit, among themselves, so it uses none.
-            self.dispatcher.table.allow_shares_from(None);
-        }
+        self.check_isolation(now);
         self.dispatcher.table.prune(now);
         self.prune_pools();
         self.update_leaving_metrics();
     }
 
+    /// Uses no shares of the fleet's limits while the other daemons may treat this daemon as gone and
+    /// divide its shares among themselves. Registers again once it hears one of them.
+    fn check_isolation(&mut self, now: Time) {
+        let was_isolated = self.isolated;
+        self.isolated = self.roster.is_isolated(now);
+        if self.isolated {
+            self.dispatcher.table.allow_shares_from(None);
+        } else if was_isolated {
+            let actions = self.store.confirm_registration(now);
+            self.run_store_actions(now, actions);
+        }
+    }
+
     /// Adds what this daemon learned of workers to the heartbeats of a tick.
     fn add_news(&mut self, now: Time, actions: &mut [RosterAction]) {
         let mut limits = self.limit_entries(now);
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -32,6 +32,18 @@
         self.list_members(None, Vec::new(), true);
     }
 
+    /// Looks for this daemon's entry again, and writes it if it is gone, after the other daemons may
+    /// have treated this one as gone. [`StoreEvent::Registered`] is reported once more.
+    pub fn confirm_registration(&mut self, now: Time) -> Vec<StoreAction> {
+        if let Some(call) = self.registration.pending_call() {
+            self.actions.push(StoreAction::Cancel(call));
+        }
+        self.registration.registered = false;
+        self.registration.maybe_new = true;
+        self.registration.phase = RegistrationPhase::Due(now);
+        std::mem::take(&mut self.actions)
+    }
+
     /// Schedules the creation of this daemon's entry after the store came back from an older copy.
     pub(crate) fn register_again(&mut self, now: Time) {
         if let Some(call) = self.registration.pending_call() {
--- a/crates/store/tests/client/members.rs
+++ b/crates/store/tests/client/members.rs
@@ -78,6 +78,21 @@
     assert!(harness.events.contains(&StoreEvent::Registered(true)));
 }
 
+/// Guards against a daemon that heard no other for long and then never used its shares of the fleet's
+/// limits again: they begin with the report that it is registered.
+#[test]
+fn a_daemon_that_confirms_its_registration_reports_it_again_as_new() {
+    let mut harness = Harness::registered();
+    let actions = harness.client.confirm_registration(harness.now);
+    harness.apply(actions);
+    harness.advance(Span::ZERO);
+    harness.complete(is_stale_list, Ok(page(Vec::new(), 3)));
+    harness.complete(is_create, Ok(StoreReply::Done));
+    let own = Object::Member(at_rev(4), entry("front-a-1", 1));
+    harness.complete(is_member_list, Ok(page(vec![own], 4)));
+    assert!(harness.events.contains(&StoreEvent::Registered(true)));
+}
+
 #[test]
 fn refreshes_the_member_list_and_removes_members_on_request() {
     let mut harness = Harness::registered();
