Tests: a refusal that is written again, and a response that ends within its head

Neither can be shown to happen here. A connection that ends within a head yields a truncated response at every byte (wire) and no response at callers (stand-in workers cut at places that differ by request).

--- a/crates/daemon/tests/failures/workers.rs
+++ b/crates/daemon/tests/failures/workers.rs
@@ -64,6 +64,29 @@
     run_load(&fleet, &[0, 1, 2, 3], 1_000);
 }
 
+/// Guards against an earlier refusal that a worker writes once more on a kept connection: taken for
+/// the response to another request, it had that run again, or reported as not run.
+#[test]
+fn a_refusal_that_is_written_again_changes_no_other_request() {
+    let fleet = start_fleet();
+    for worker in &fleet.workers {
+        worker.set_fault(WorkerFault::RepeatsRefusal);
+    }
+    let report = run_load(&fleet, &[0, 1, 2, 3], 2_000);
+    assert_eq!(report.count(Outcome::Failed), 0, "{}", report.text());
+}
+
+/// Guards against a response that ends within its head and is passed on as a whole one.
+#[test]
+fn a_response_that_ends_within_its_head_is_never_delivered() {
+    let fleet = start_fleet();
+    for worker in &fleet.workers {
+        worker.set_fault(WorkerFault::CutsHead);
+    }
+    let report = run_load(&fleet, &[0, 1, 2, 3], 1_000);
+    assert_eq!(report.count(Outcome::Served), 0, "{}", report.text());
+}
+
 #[test]
 fn a_write_that_may_have_run_is_neither_retried_nor_reported_as_not_run() {
     let fleet = start_fleet();
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -29,6 +29,8 @@
     Response(Response),
     /// Sends raw bytes and closes the connection.
     RawBytes(Vec<u8>),
+    /// Sends raw bytes and keeps the connection.
+    KeptBytes(Vec<u8>),
     /// Closes the connection without a response.
     Close,
     /// Closes all connections and refuses new ones for a time, like a process that crashes and is
@@ -272,6 +274,7 @@
                 conn.write_all(&bytes)?;
                 return conn.shutdown(Shutdown::Both);
             }
+            Reply::KeptBytes(bytes) => conn.write_all(&bytes)?,
             Reply::Crash(span) => {
                 crash.crash(span);
                 return Ok(());
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -12,7 +12,7 @@
     },
     site::{HealthReport, LoadReport, Notice, Worker, WorkerState},
     std::{
-        io::{self, ErrorKind},
+        io::{self, ErrorKind, Write},
         net::{Ipv4Addr, SocketAddrV4, TcpStream},
         sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
         thread,
@@ -28,6 +28,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a worker that has crashed is down.
 pub(crate) const CRASH_TIME: Duration = Duration::from_millis(300);
+/// One in this many requests is refused by a worker with [`WorkerFault::RepeatsRefusal`].
+const REFUSED_ONE_IN: usize = 3;
 /// The latency, in percent, of a machine at normal speed.
 const NORMAL_PERCENT: u32 = 100;
 
@@ -56,8 +58,12 @@
     last_request: Option<String>,
     /// The time that requests take on this machine, in percent of the normal time.
     latency_percent: u32,
+    /// The id of the request that was refused last.
+    last_refused: Option<String>,
     /// What responses to requests ask of the callers.
     notice: Notice,
+    /// The requests counted to choose those that are refused.
+    started: usize,
     running: u32,
     /// How long it wants nothing from a daemon whose request it turns away; `None` while it turns
     /// none away.
@@ -120,6 +126,8 @@
                 fault: WorkerFault::None,
                 healthy: true,
                 last_request: None,
+                last_refused: None,
+                started: 0,
                 latency_percent: NORMAL_PERCENT,
                 notice: Notice::default(),
                 running: 0,
@@ -256,6 +264,9 @@
             request: id.clone(),
             worker: self.id.clone(),
         });
+        if self.refuses_this(&id, conn) {
+            return Reply::Response(not_run_response(Some(&id)));
+        }
         let retry_after = self.lock().turning_away;
         if retry_after.is_some() || !self.take_slot(end) {
             let notice = Notice {
@@ -312,6 +323,27 @@
         }
     }
 
+    /// Whether a worker with the fault [`WorkerFault::RepeatsRefusal`] refuses this request. If not,
+    /// it sends a copy of its last refusal.
+    fn refuses_this(&self, id: &str, mut conn: &TcpStream) -> bool {
+        let mut state = self.lock();
+        if state.fault != WorkerFault::RepeatsRefusal {
+            return false;
+        }
+        state.started += 1;
+        if state.started.is_multiple_of(REFUSED_ONE_IN) {
+            state.last_refused = Some(id.to_owned());
+            return true;
+        }
+        if state.last_refused.is_some() {
+            let mut copy = Vec::new();
+            not_run_response(state.last_refused.as_deref()).encode(&mut copy, false);
+            // A caller that is gone gets no response either.
+            let _ = conn.write_all(&copy);
+        }
+        false
+    }
+
     /// Turns a health probe away after a time, and asks for what [`Upstream::turn_away`] says.
     fn refuse_probe(&self, delay: Duration) -> Reply {
         thread::sleep(delay);
@@ -422,9 +454,13 @@
         last_request: Option<String>,
         notice: Notice,
     ) -> Reply {
-        let (load, body_bytes) = {
+        let (load, body_bytes, refused) = {
             let state = self.lock();
-            (self.load(&state), state.body_bytes)
+            (
+                self.load(&state),
+                state.body_bytes,
+                state.last_refused.clone(),
+            )
         };
         let mut response = Response::new(if fault == WorkerFault::Errors {
             500
@@ -436,13 +472,14 @@
         response.body.resize(length, b'.');
         sign_response(&mut response, id, load);
         add_notice(&mut response.headers, notice);
-        fault.reply(&response, || {
+        let late_response = || {
             let mut extra = Response::new(200);
             extra.body = b"late".to_vec();
             let id = last_request.as_deref().unwrap_or("none");
             sign_response(&mut extra, id, load);
             extra
-        })
+        };
+        fault.reply(&response, late_response, refused.as_deref())
     }
 }
 
--- a/crates/standin/src/worker_fault.rs
+++ b/crates/standin/src/worker_fault.rs
@@ -13,6 +13,8 @@
 /// The fault of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WorkerFault {
+    /// Closes the connection in the middle of each response's head.
+    CutsHead,
     /// Runs requests and responds to them with status 500.
     Errors,
     /// Sends a refusal that names no request ahead of each response, after running the request.
@@ -35,6 +37,9 @@
     None,
     /// Turns health probes away after this time, naming neither itself nor a request.
     RefusesProbes(Duration),
+    /// Refuses every third request, and sends a copy of the last refusal on the connections of the
+    /// requests that it runs: once while the request runs, and once after its response.
+    RepeatsRefusal,
     /// Runs requests and closes the connection without a response.
     Resets,
     /// Takes this many times as long as usual, without reporting it.
@@ -45,13 +50,16 @@
 
 impl WorkerFault {
     /// The reply to a request that was executed, made of its `response`; `late_response` makes an
-    /// extra response with the id of the request that ended before.
+    /// extra response with the id of the request that ended before, and `refused` is the id of the
+    /// request that was refused last.
     pub(crate) fn reply(
         self,
         response: &Response,
         late_response: impl FnOnce() -> Response,
+        refused: Option<&str>,
     ) -> Reply {
         match self {
+            Self::CutsHead => cut_head(response),
             Self::FloodsBody => endless_body(response),
             Self::FloodsIdle => {
                 let mut head = Vec::new();
@@ -80,6 +88,14 @@
                 response.encode(&mut bytes, false);
                 Reply::RawBytes(bytes)
             }
+            Self::RepeatsRefusal => {
+                let mut bytes = Vec::new();
+                response.encode(&mut bytes, false);
+                if refused.is_some() {
+                    not_run_response(refused).encode(&mut bytes, false);
+                }
+                Reply::KeptBytes(bytes)
+            }
             Self::Hangs => Reply::Hang,
             Self::Resets => Reply::Close,
             Self::Truncates => truncated(response),
@@ -94,3 +110,14 @@
     bytes.pop();
     Reply::RawBytes(bytes)
 }
+
+/// The reply that ends within a response's head. Where it ends follows from the body, which differs
+/// from request to request.
+fn cut_head(response: &Response) -> Reply {
+    let mut bytes = Vec::new();
+    response.encode(&mut bytes, false);
+    let head = bytes.len() - response.body.len();
+    let sum: usize = response.body.iter().map(|byte| usize::from(*byte)).sum();
+    bytes.truncate(sum % head);
+    Reply::RawBytes(bytes)
+}
--- a/crates/wire/tests/responses.rs
+++ b/crates/wire/tests/responses.rs
@@ -97,6 +97,32 @@
     }
 }
 
+/// Guards against a connection that ends within a response's head: what has arrived of it must not
+/// become a response with an empty body.
+#[test]
+fn a_response_that_ends_within_its_head_is_never_complete() {
+    for head in [
+        &b"HTTP/1.1 200 OK\r\nResponse-Signature: a\r\nContent-Length: 12\r\n\r\n"[..],
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\nRequest-Id: a\n\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n",
+    ] {
+        for size in 1..head.len() {
+            for end in [ConnectionEnd::Closed, ConnectionEnd::Reset] {
+                let mut reader = reader(&head[..size]);
+                assert_eq!(reader.next_response(false), Ok(None), "{size}");
+                let between = head[..size] == *b"HTTP/1.1 100 Continue\r\n\r\n";
+                let expected = if between {
+                    Ok(None)
+                } else {
+                    Err(WireError::Truncated)
+                };
+                assert_eq!(reader.finish(end), expected, "{size}");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_close_between_responses_is_no_error() {
     assert_eq!(reader(b"").finish(ConnectionEnd::Closed), Ok(None));
