A process run uses no share of a worker's own limit until a whole window has passed

Change as for the retry budget: the share begins one window after the process's start. Daemons that haven't been told of the limit send as before.

--- a/crates/limit/src/request_budget.rs
+++ b/crates/limit/src/request_budget.rs
@@ -53,21 +53,24 @@
 pub struct RequestBudget {
     sent: SlidingWindow,
     share: Option<Share>,
+    /// When this process run began. The run before it may have used its share up to then, so this
+    /// one uses none until a whole window has passed.
+    started: Time,
     /// When the worker last named its limit.
     told_at: Time,
 }
 
-impl Default for RequestBudget {
-    fn default() -> Self {
+impl RequestBudget {
+    /// The budget of a process run that began at `started`, for a worker that names no limit.
+    pub fn new(started: Time) -> Self {
         Self {
             sent: SlidingWindow::new(MIN_WINDOW + TRANSIT),
             share: None,
+            started,
             told_at: Time::ZERO,
         }
     }
-}
 
-impl RequestBudget {
     /// Sets the limit that the worker names, or `None` if it names none.
     pub fn set_limit(&mut self, limit: Option<Rate>, placement: Placement) {
         self.share = limit.map(|limit| Share::new(limit, placement));
@@ -92,7 +95,8 @@
             return self.told_at.max(last) + share.trial_after;
         }
         let oldest = self.sent.nth_latest(share.requests - 1);
-        oldest.map_or(now, |at| at + share.window)
+        let opening = oldest.map_or(now, |at| at + share.window);
+        opening.max(self.started + share.window)
     }
 
     /// When some daemon of the fleet may likely send the next request.
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -108,7 +108,8 @@
 }
 
 impl WorkerRecord {
-    pub(crate) fn new(worker: Worker, now: Time) -> Self {
+    /// The record of a worker that became known at `now` to a process that began at `started`.
+    pub(crate) fn new(worker: Worker, started: Time, now: Time) -> Self {
         Self {
             probed_at: None,
             unprobed: 0,
@@ -123,7 +124,7 @@
             load: None,
             named_limit: NamedLimit::default(),
             probe_budget: ProbeBudget::new(now),
-            request_budget: RequestBudget::default(),
+            request_budget: RequestBudget::new(started),
             rejection: Rejection::default(),
             retry_at: Time::ZERO,
             said_leaving: false,
--- a/crates/pick/src/worker_table.rs
+++ b/crates/pick/src/worker_table.rs
@@ -98,7 +98,7 @@
         keys.push(key);
         let draining = worker.state == WorkerState::Draining;
         let run = (worker.id.clone(), worker.started_ms);
-        let mut record = WorkerRecord::new(worker, now);
+        let mut record = WorkerRecord::new(worker, self.started, now);
         record.lane = self.first_lane;
         if let Some(asked) = self.asked.get(&run) {
             record.said_leaving = asked.leaving;
