A data centre asks for members that only others know

Members that are unknown in gossip from another data centre were not asked for, 'as another daemon here will soon know them'; where none knows them, each waited for the others until a heartbeat from that very daemon happened to come in (one in about 16 s a data centre, at random). Real daemons learn all members from the store, so callers see this only while the store is out: that daemon is missing from a data centre's directory.

Change: one in four such heartbeats is answered with the question.

--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -24,6 +24,9 @@
 /// others only about this data centre. Passed on from daemon to daemon, gossip reaches nearly all
 /// daemons within two seconds.
 const FULL_ONE_IN: usize = 5;
+/// One in this many heartbeats from another data centre that report unknown members is answered
+/// with a request for their contacts.
+const REMOTE_WANTED_ONE_IN: usize = 4;
 /// The sequence number up to which daemons of other data centres send contacts to a daemon that has
 /// just started.
 const MAX_STARTUP_SEQUENCE: u32 = 25;
@@ -251,9 +254,9 @@
         }
         let local = heartbeat.centre == self.centre;
         let mut unknown = self.merge_gossip(now, &heartbeat.gossip);
-        if !local {
+        if !local && self.rng.usize(..REMOTE_WANTED_ONE_IN) != 0 {
             // Traffic between data centres is expensive, and another daemon of this data centre
-            // will soon know these members.
+            // likely knows these members already, and will soon tell.
             unknown.clear();
         }
         let mut actions = Vec::new();
--- a/crates/peer/tests/fleet/roster.rs
+++ b/crates/peer/tests/fleet/roster.rs
@@ -282,3 +282,22 @@
     }
     assert!(stale < Span::millis(2_500), "{stale:?}");
 }
+
+/// Guards against a daemon that a whole data centre doesn't know, as nobody there was told its
+/// address: all waited for each other to learn it.
+#[test]
+fn a_daemon_that_is_heard_of_only_through_others_becomes_known() {
+    let mut fleet = Fleet::with_centres(30, 3);
+    let unheard = 27;
+    for index in (0..30).filter(|index| index % 3 == 1) {
+        fleet.cut_links.insert((unheard, index));
+        fleet.cut_links.insert((index, unheard));
+    }
+    fleet.nodes[unheard].alive = false;
+    fleet.run(50);
+    fleet.nodes[unheard].alive = true;
+    fleet.run(100);
+    for index in (0..30).filter(|index| index % 3 == 1) {
+        assert_eq!(fleet.alive_count(index), 29, "daemon {index}");
+    }
+}
