Daemons that have just started fetch the list of rollouts with the rest of the site

Cause (logs of both plays): where a deployment has rollouts, a daemon sends nothing before it knows them. The configuration and the workers come by a fetch after 0.05 and 0.24 s (median); the list of rollouts came only with heartbeats, once a second, since no rollout had changed: 119 daemons were ready after 0.6 to 1.0 s, and the first request was sent 0.90 s after the start (median), 0.30 s on. Held requests and backoffs then met all at once.

Change: the reply to a fetch of a daemon that lacks a topic carries the section with the list, under a number that earlier builds skip (tested), and heartbeats list the rollouts for two seconds after they first became known.

--- a/crates/daemon/src/fetches.rs
+++ b/crates/daemon/src/fetches.rs
@@ -3,9 +3,9 @@
 use {
     crate::{conn::ConnKind, constants::FETCH_TIMEOUT, daemon::Daemon, log_event},
     forward::ForwardExtended,
-    peer::{ChangeSection, FrameCodec, PeerError, PeerRequest, TopicRevs},
+    peer::{ChangeSection, FrameCodec, PeerError, PeerRequest, Section, TopicRevs},
     serde_json::json,
-    site::{Change, LegacyChange, Revs, Topic},
+    site::{Change, LegacyChange, Rev, Revs, Topic},
     std::net::Ipv4Addr,
     unit::Time,
     wire::ConnectionEnd,
@@ -94,7 +94,17 @@
                 server.answered = true;
                 let mut revs = Revs::default();
                 known.raise(&mut revs);
-                let reply = extended_reply(&self.view.changes_since(&revs));
+                let starting = Topic::ALL
+                    .iter()
+                    .any(|topic| revs.of(*topic) == Rev::default());
+                let changes = self.view.changes_since(&revs);
+                // A daemon that has just started isn't ready before it knows the rollouts.
+                let rollouts = if starting {
+                    self.rollout_listing(now)
+                } else {
+                    None
+                };
+                let reply = extended_reply(&changes, rollouts.as_ref());
                 self.reply_to_fetch(now, conn_key, reply);
             }
             Ok(None) => {}
@@ -144,12 +154,18 @@
         }
     }
 
-    /// Applies a fetched change, unless it is about a topic that this build doesn't know.
+    /// Applies a fetched change, unless it is about a topic that this build doesn't know, or takes
+    /// what the other daemon tells of rollouts.
     fn apply_section(&mut self, now: Time, section: &ChangeSection, source: &str) {
-        match section.change() {
-            Ok(Some(change)) => self.apply_change(now, change, source),
-            Ok(None) => {}
-            Err(error) => self.log_refused(now, source, &error),
+        match (section.section(), section.change()) {
+            (Ok(Some(section)), _) => {
+                self.adopt_rollouts(now, &[section], source);
+                self.update_lanes(now);
+                self.check_ready(now);
+            }
+            (Ok(None), Ok(Some(change))) => self.apply_change(now, change, source),
+            (Ok(None), Ok(None)) => {}
+            (Err(error), _) | (_, Err(error)) => self.log_refused(now, source, &error),
         }
     }
 
@@ -205,12 +221,15 @@
     FrameCodec::encode(&changes)
 }
 
-/// The reply to a daemon that reads extended messages.
-fn extended_reply(changes: &[Change]) -> Result<Vec<u8>, PeerError> {
-    // Daemons tell each other of rollouts in sections of heartbeats.
+/// The reply to a daemon that reads extended messages; `rollouts` is what heartbeats tell of these.
+fn extended_reply(changes: &[Change], rollouts: Option<&Section>) -> Result<Vec<u8>, PeerError> {
+    // What changes of rollouts is told in sections.
     let fetched = changes
         .iter()
         .filter(|change| change.topic != Topic::Rollouts);
-    let sections: Result<Vec<ChangeSection>, PeerError> = fetched.map(ChangeSection::new).collect();
+    let sections = fetched
+        .map(ChangeSection::new)
+        .chain(rollouts.map(ChangeSection::of_section));
+    let sections: Result<Vec<ChangeSection>, PeerError> = sections.collect();
     FrameCodec::encode(&sections?)
 }
--- a/crates/daemon/src/rollouts.rs
+++ b/crates/daemon/src/rollouts.rs
@@ -24,7 +24,7 @@
 /// The heartbeats of one tick in this many hold the list of all rollouts, as do those right after a
 /// change.
 const LISTING_ONE_IN: u64 = 5;
-/// How long after a change of rollouts each heartbeat lists them.
+/// How long after a change of rollouts, or after they became known, each heartbeat lists them.
 const CHANGE_TIME: Span = Span::secs(2);
 /// The key under which the ids of a service's workers are ranked to choose the canaries.
 const CANARY_KEY: &str = "canary";
@@ -34,7 +34,7 @@
 pub(crate) struct RolloutBook {
     /// The revision up to which all changes of rollouts are known.
     known: Rev,
-    /// When the rollouts last changed here.
+    /// When the rollouts last changed here, or first became known.
     changed: Option<Time>,
     /// Whether this daemon was halted at the last tick, by the service of the rollout.
     halted: Set<Name>,
@@ -80,7 +80,7 @@
         if self.rollouts.is_none() {
             return;
         }
-        self.raise_known(self.store.watched_rev(Topic::Rollouts));
+        self.raise_known(now, self.store.watched_rev(Topic::Rollouts));
         self.update_lanes(now);
         let own = self.own_state();
         let conditions = Conditions {
@@ -142,6 +142,20 @@
         let book = self.rollouts.as_ref()?;
         let recent = book.changed.is_some_and(|at| now.since(at) < CHANGE_TIME);
         let lists = recent || self.ticks.is_multiple_of(LISTING_ONE_IN);
+        self.encode_rollouts(now, lists)
+    }
+
+    /// The section with the list of all rollouts, for a daemon that has just started; `None` if this
+    /// daemon doesn't know them.
+    pub(crate) fn rollout_listing(&mut self, now: Time) -> Option<Section> {
+        if !self.knows_versions() {
+            return None;
+        }
+        self.encode_rollouts(now, true)
+    }
+
+    fn encode_rollouts(&mut self, now: Time, lists: bool) -> Option<Section> {
+        let book = self.rollouts.as_ref()?;
         let established = book.versions.established();
         let listing = lists.then(|| Listing {
             established: established
@@ -178,7 +192,7 @@
         }
         // The sender knows all changes up to `known`, and this daemon has all that the sender has.
         if self.view.revs().rollouts >= section.rev {
-            self.raise_known(section.known);
+            self.raise_known(now, section.known);
         }
         for news in section.news {
             let mut rollouts = self.dispatcher.rollouts.values_mut();
@@ -237,9 +251,13 @@
         }
     }
 
-    fn raise_known(&mut self, rev: Rev) {
+    fn raise_known(&mut self, now: Time, rev: Rev) {
         let rev = rev.max(self.view.revs().rollouts);
         if let Some(book) = &mut self.rollouts {
+            if book.known == Rev::default() && rev > Rev::default() {
+                // Others that have just started wait for the list.
+                book.changed = Some(now);
+            }
             book.known = book.known.max(rev);
         }
     }
--- a/crates/peer/tests/fleet/messages.rs
+++ b/crates/peer/tests/fleet/messages.rs
@@ -213,3 +213,12 @@
     let encoded = encode(&later).expect("encodable");
     assert_eq!(encoded, encode(&heartbeat()).expect("encodable"));
 }
+
+#[test]
+fn the_reply_to_a_fetch_carries_sections_of_heartbeats_that_earlier_builds_skip() {
+    let section = Section::new(SectionTag::Rollouts, &7_u32).expect("encodable");
+    let carried = ChangeSection::of_section(&section).expect("encodable");
+    assert_eq!(carried.section().expect("valid"), Some(section));
+    // A build that knows only topics sees one that it doesn't know.
+    assert_eq!(carried.change().expect("skipped"), None);
+}
