The soak checks the limit on retries in every window

The judge goes by the users' words (requests of the window, the one before or the one half a window before).

--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -19,6 +19,23 @@
 /// The region of all data centres.
 const REGION: &str = "region";
 
+/// The limits on the whole fleet.
+pub(crate) fn bounds() -> Bounds {
+    Bounds {
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+        drain: Span::secs(2),
+        stop_grace: Span::secs(6),
+        max_ttl: Span::secs(5),
+        probe_rate: 60.0,
+        retry_extra: 56.0,
+        retry_ratio: 0.2,
+        retry_window: Span::secs(10),
+        quotas: None,
+        rollouts: None,
+    }
+}
+
 /// Returns the settings of a daemon that listens on `ip`, on consecutive ports from `base` on.
 ///
 /// `seed` is the address of the daemon that it contacts first, before it knows any other.
@@ -33,19 +50,7 @@
     let address = |port| SocketAddrV4::new(ip, base + port);
     let name: Name = name.into();
     Settings {
-        bounds: Bounds {
-            cold_factor: 1.5,
-            cold_slack: 5.0,
-            drain: Span::secs(2),
-            stop_grace: Span::secs(6),
-            max_ttl: Span::secs(5),
-            probe_rate: 60.0,
-            retry_extra: 56.0,
-            retry_ratio: 0.2,
-            retry_window: Span::secs(10),
-            quotas: None,
-            rollouts: None,
-        },
+        bounds: bounds(),
         centre: centre.into(),
         max_fds: 4_100,
         ip,
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod replacements;
 mod report;
+mod retries;
 mod runner;
 
 pub use {report::SoakReport, runner::Soak};
--- a/crates/standin/src/soak/report.rs
+++ b/crates/standin/src/soak/report.rs
@@ -6,7 +6,10 @@
         execution_log::{Execution, ExecutionLog},
         key_ring::KeyTerm,
         outcome::Outcome,
-        soak::{callers::TimedResult, keys::foreign_keys, notices::ignored_notices},
+        soak::{
+            callers::TimedResult, keys::foreign_keys, notices::ignored_notices,
+            retries::too_many_retries,
+        },
     },
     std::{
         collections::{HashMap, HashSet},
@@ -126,6 +129,9 @@
         .violations
         .extend(evacuated(executions, centres, history));
     report
+        .violations
+        .extend(too_many_retries(requests, &log.arrivals()));
+    report
 }
 
 /// Writes that ran more than once or ran although reported as not run, and responses to other
