A process run sends no retries at all in its first window

Cause: the restart forgets not only the extra retries but also those by the ratio. A process that has sent none for a while may send the ratio of ten seconds' requests at once; the one after it earns the same again from its own requests, so that a window around the restart holds up to two windows' worth. The property test of the budget had allowed for two windows of requests and couldn't see it.

Change: the first window after a process's start has no retries and no hedges. Then all retries of a daemon in any window belong to one run and to its requests of one window.

What it costs: for ten seconds after its start a daemon answers a first attempt that failed with the worker's error, or 503 and a short delay if it hasn't run; callers' own retries are new requests.

--- a/crates/call/src/dispatcher.rs
+++ b/crates/call/src/dispatcher.rs
@@ -276,9 +276,9 @@
         self.retry_budgets.entry(service.clone()).or_insert(unused)
     }
 
-    /// Whether this daemon may use a share of the retries that the fleet may send beyond the ratio.
-    pub fn has_extra_retries(&self, now: Time) -> bool {
-        self.table.sharers(now).is_some() && self.unused_retry_budget().has_extra(now)
+    /// Whether this daemon may use its whole share of the limit on retries.
+    pub fn may_retry(&self, now: Time) -> bool {
+        self.table.sharers(now).is_some() && self.unused_retry_budget().is_open(now)
     }
 
     /// The budget of a service that has had no requests.
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -32,7 +32,7 @@
             "workers": self.workers_json(now),
             "rollouts": self.rollouts_json(now),
             "requests": self.requests_json(now),
-            "extra_retries": self.dispatcher.has_extra_retries(now),
+            "may_retry": self.dispatcher.may_retry(now),
             "barred": self.dispatcher.crash_log().count_barred(now),
             "relayed": self.relays.len(),
             "connections": {"callers": self.caller_count, "all": self.conns.len()},
--- a/crates/daemon/tests/failures/support.rs
+++ b/crates/daemon/tests/failures/support.rs
@@ -25,12 +25,11 @@
     Fleet::start(&default_plan()).expect("a fleet")
 }
 
-/// Waits until all daemons have a share of the retries that the fleet may send beyond the ratio,
-/// which they haven't right after their start.
+/// Waits until all daemons may send retries, which they may not right after their start.
 pub(crate) fn wait_for_retries(fleet: &Fleet) {
     for at in 0..fleet.size() {
-        wait_until("the daemon has extra retries", || {
-            state_dump(fleet, at)["extra_retries"] == true
+        wait_until("the daemon may send retries", || {
+            state_dump(fleet, at)["may_retry"] == true
         });
     }
 }
--- a/crates/limit/src/retry_budget.rs
+++ b/crates/limit/src/retry_budget.rs
@@ -17,8 +17,8 @@
     ratio: f64,
     retries: SlidingWindow,
     requests: SlidingWindow,
-    /// When this process run began. The run before it may have used its share of `extra` up to
-    /// then, so this one has none until a whole window has passed.
+    /// When this process run began. The run before it may have sent up to then all that it had saved
+    /// up, so this one sends no retries until a whole window has passed.
     started: Time,
     window: Span,
 }
@@ -67,8 +67,8 @@
         true
     }
 
-    /// Whether this process run may send retries beyond the ratio by its age.
-    pub fn has_extra(&self, now: Time) -> bool {
+    /// Whether this process run is old enough to send retries.
+    pub fn is_open(&self, now: Time) -> bool {
         now.since(self.started) >= self.window
     }
 
@@ -83,8 +83,10 @@
 
     /// The number of retries that this daemon may send in the window up to `now`.
     fn allowed(&mut self, now: Time, sharers: Option<usize>) -> f64 {
+        if !self.is_open(now) {
+            return 0.0;
+        }
         let requests = self.requests.count(now) as f64;
-        let sharers = sharers.filter(|_| self.has_extra(now));
         let extra = sharers.map_or(0.0, |count| self.extra / count.max(1) as f64);
         (self.ratio * requests + extra) * MARGIN
     }
--- a/crates/limit/tests/shares.rs
+++ b/crates/limit/tests/shares.rs
@@ -90,19 +90,30 @@
             for _ in 0..8 {
                 if kind < 3 {
                     budgets[daemon].record_request(at(time));
-                    requests.push(time);
+                    requests.push((time, daemon));
                 } else if budgets[daemon].take_permit(at(time), Some(count), 1.0) {
-                    retries.push(time);
+                    retries.push((time, daemon));
                 }
             }
         }
-        retries.iter().all(|end| {
-            let span = end.saturating_sub(window - 1)..=*end;
-            let retries = retries.iter().filter(|time| span.contains(time)).count();
-            // A retry early in the checked window may draw on requests of the window before it.
-            let wide = end.saturating_sub(2 * window - 1)..=*end;
-            let requests = requests.iter().filter(|time| wide.contains(time)).count();
-            retries as f64 <= ratio * requests as f64 + extra
+        let within = |events: &[(u64, usize)], daemon: usize, from: u64| {
+            let window = from..from + window;
+            let counts = |event: &&(u64, usize)| event.1 == daemon && window.contains(&event.0);
+            events.iter().filter(counts).count() as f64
+        };
+        retries.iter().all(|(begin, _)| {
+            // A daemon's retries in a window draw on its requests of the window that ends with the
+            // last of them, and on nothing else, however often it restarted.
+            (0..count).all(|daemon| {
+                let inside = *begin..begin + window;
+                let own = |retry: &&(u64, usize)| retry.1 == daemon && inside.contains(&retry.0);
+                let Some((last, _)) = retries.iter().filter(own).max() else {
+                    return true;
+                };
+                let requests = within(&requests, daemon, (last + 1).saturating_sub(window));
+                let allowed = ratio * requests + extra / count as f64;
+                within(&retries, daemon, *begin) <= allowed
+            })
         })
     }
 
@@ -232,8 +243,11 @@
 }
 
 #[test]
-fn a_process_has_no_extra_retries_in_its_first_window() {
+fn a_process_sends_no_retries_in_its_first_window() {
     let mut budget = RetryBudget::new(0.2, 40.0, Span::secs(10), at(5_000));
+    for _ in 0..100 {
+        budget.record_request(at(14_000));
+    }
     assert!(!budget.take_permit(at(14_999), Some(10), 1.0));
     assert!(budget.take_permit(at(15_000), Some(10), 1.0));
 }
