--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -2,21 +2,23 @@
 
 use {
     std::{
-        io::{self, Read, Write},
+        io::{self, ErrorKind, Read, Write},
         net::{Shutdown, SocketAddrV4, TcpListener, TcpStream},
         sync::{
             Arc, Condvar, Mutex, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
         thread::{self, JoinHandle},
-        time::Duration,
+        time::{Duration, Instant},
     },
     wire::{BodyCoding, Limits, Request, RequestReader, Response},
 };
 
 /// Bytes read at a time.
 const CHUNK_SIZE: usize = 16 << 10;
-/// The pause between two tries to listen again after a crash.
+/// How long a server that starts waits for its port.
+const BIND_TIMEOUT: Duration = Duration::from_secs(2);
+/// The pause between two tries to listen.
 const BIND_RETRY: Duration = Duration::from_millis(5);
 /// The size of a chunk of a body that never ends, in bytes.
 pub(crate) const FLOOD_CHUNK_BYTES: usize = 16 << 10;
@@ -112,9 +114,12 @@
 }
 
 impl Server {
-    /// Starts a server on an address; port 0 stands for any free port.
+    /// Starts a server on an address; port 0 stands for any free port. If the port is in use, waits
+    /// for it for a moment: a process that is just being started holds copies of all sockets, also
+    /// of one that was closed meanwhile.
     pub(crate) fn start(address: SocketAddrV4, handler: Arc<Handler>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let end = Instant::now() + BIND_TIMEOUT;
+        let listener = bind(address, || Instant::now() >= end)?;
         let port = listener.local_addr()?.port();
         let conns: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let stop: Arc<AtomicBool> = Arc::default();
@@ -174,16 +179,10 @@
                 return;
             };
             thread::sleep(span);
-            listener = loop {
-                if self.stop.load(Ordering::Relaxed) {
-                    return;
-                }
-                match TcpListener::bind(self.address) {
-                    Ok(listener) => break listener,
-                    // Another socket uses the port for a moment.
-                    Err(_) => thread::sleep(BIND_RETRY),
-                }
+            let Ok(bound) = bind(self.address, || self.stop.load(Ordering::Relaxed)) else {
+                return;
             };
+            listener = bound;
         }
     }
 
@@ -228,6 +227,18 @@
     }
 }
 
+/// Binds an address, again and again while it is in use, until that succeeds or `gives_up`.
+fn bind(address: SocketAddrV4, gives_up: impl Fn() -> bool) -> io::Result<TcpListener> {
+    loop {
+        match TcpListener::bind(address) {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && !gives_up() => {
+                thread::sleep(BIND_RETRY);
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Closes all connections.
 fn close_all(conns: &Mutex<Vec<TcpStream>>) {
     let mut conns = conns.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standin/tests/ports.rs
+++ b/crates/standin/tests/ports.rs
@@ -5,20 +5,21 @@
 #![allow(clippy::expect_used, reason = "a test fails by panicking")]
 
 use {
-    standin::find_free_ports,
+    standin::{ExecutionLog, Upstream, find_free_ports},
     std::{
-        net::{Ipv4Addr, TcpListener},
+        iter,
+        net::{Ipv4Addr, SocketAddrV4, TcpListener},
         process::{Command, Stdio},
         sync::atomic::{AtomicBool, Ordering},
         thread,
+        time::Duration,
     },
 };
 
 const ROUNDS: usize = 500;
 
-#[test]
-fn free_ports_can_be_bound_while_processes_start() {
-    let ip = Ipv4Addr::new(127, 250, 0, 1);
+/// Calls a function many times while other threads spawn processes, and returns what it finds.
+fn beside_new_processes<T>(find: impl FnMut() -> Option<T>) -> Vec<T> {
     let done = AtomicBool::new(false);
     let spawn_processes = || {
         while !done.load(Ordering::Relaxed) {
@@ -27,18 +28,22 @@
             command.status().expect("the process can be started");
         }
     };
-    let in_use = thread::scope(|scope| {
+    thread::scope(|scope| {
         for _ in 0..4 {
             scope.spawn(spawn_processes);
         }
-        let in_use: Vec<u16> = (0..ROUNDS)
-            .filter_map(|_| {
-                let base = find_free_ports(&[ip]).expect("a range of ports is free");
-                TcpListener::bind((ip, base)).err().map(|_| base)
-            })
-            .collect();
+        let found = iter::repeat_with(find).take(ROUNDS).flatten().collect();
         done.store(true, Ordering::Relaxed);
-        in_use
+        found
+    })
+}
+
+#[test]
+fn free_ports_can_be_bound_while_processes_start() {
+    let ip = Ipv4Addr::new(127, 250, 0, 1);
+    let in_use = beside_new_processes(|| {
+        let base = find_free_ports(&[ip]).expect("a range of ports is free");
+        TcpListener::bind((ip, base)).err().map(|_| base)
     });
     assert!(
         in_use.is_empty(),
@@ -63,3 +68,18 @@
         );
     }
 }
+
+/// Guards against a worker that can't take over an address because a process that is just being
+/// started holds the old worker's socket.
+#[test]
+fn a_worker_takes_over_an_address_while_processes_start() {
+    let log = ExecutionLog::default();
+    let start = |address| Upstream::start_at(address, "w", "s", "a", Duration::ZERO, &log);
+    let failed = beside_new_processes(|| {
+        let old = start(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+        let address = old.entry.address;
+        drop(old);
+        start(address).err()
+    });
+    assert!(failed.is_empty(), "{failed:?}");
+}
