--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod allowance;
 mod bucket;
+mod decision;
 mod demand;
 mod electorate;
 mod grantor;
@@ -16,14 +17,18 @@
 mod reserve;
 mod rounds;
 mod shard;
+mod tenure;
+mod token_requests;
 mod tokens;
+mod waits;
 
 pub use {
     allowance::{Allowance, VALIDITY},
+    decision::{Admission, QuotaAction, QuotaEvent, RequestId, Usage},
     electorate::Voter,
     grantor::Grantor,
     lease::{LEASE, Lease},
     message::Message,
-    quota::{Admission, Quota, QuotaAction, QuotaEvent, RequestId, Usage},
+    quota::Quota,
     shard::{SHARDS, account_hash, shard_of},
 };
