--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -26,6 +26,8 @@
     /// Whether the daemons are replaced one after the other, and back again.
     replaced: bool,
     restores: bool,
+    /// Whether a version is rolled out.
+    rollouts: bool,
 }
 
 fn run(seed: u64, seconds: u64, extras: Extras) {
@@ -39,6 +41,7 @@
         notices: extras.notices,
         program: program.to_owned(),
         restores: extras.restores,
+        rollouts: extras.rollouts,
         seed,
         duration: Duration::from_secs(seconds),
     };
@@ -166,3 +169,12 @@
     };
     run(20_261_209, 12, extras);
 }
+
+#[test]
+fn a_short_soak_with_a_rollout_of_a_bad_version_passes() {
+    let extras = Extras {
+        rollouts: true,
+        ..Extras::default()
+    };
+    run(20_001, 6, extras);
+}
--- a/crates/standin/src/bin/soak.rs
+++ b/crates/standin/src/bin/soak.rs
@@ -43,6 +43,10 @@
     #[arg(long)]
     restores: bool,
 
+    /// Roll out a version of the service, every second time a bad one.
+    #[arg(long, conflicts_with_all = ["production", "restores"])]
+    rollouts: bool,
+
     /// The period in which faults begin.
     #[arg(long, default_value_t = 12, value_name = "SECONDS")]
     seconds: u64,
@@ -73,6 +77,7 @@
             production: arguments.production.clone(),
             program: arguments.program.clone(),
             restores: arguments.restores,
+            rollouts: arguments.rollouts,
             seed,
             duration: Duration::from_secs(arguments.seconds),
         };
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -9,6 +9,7 @@
 mod replacements;
 mod report;
 mod retries;
+mod rollouts;
 mod runner;
 
 pub use {report::SoakReport, runner::Soak};
--- a/crates/standin/src/soak/report.rs
+++ b/crates/standin/src/soak/report.rs
@@ -69,6 +69,8 @@
     /// Where daemons of two builds ran: how many datagrams and requests of other daemons those of the
     /// earlier build refused.
     pub refused_in_production: Option<(usize, usize)>,
+    /// How the rollout ended, if there was one.
+    pub rollout: Option<String>,
     /// The number of requests with each outcome.
     pub outcomes: HashMap<Outcome, usize>,
 }
@@ -84,6 +86,9 @@
                 ", {datagrams} datagrams and {requests} requests refused by the earlier build"
             )?;
         }
+        if let Some(rollout) = &self.rollout {
+            write!(f, ", {rollout}")?;
+        }
         for violation in self.violations.iter().take(MAX_SHOWN) {
             write!(f, "\n  broken: {violation}")?;
         }
--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -12,6 +12,7 @@
             fault::Fault,
             replacements::{Replacement, Replacements},
             report::{History, SoakReport, check},
+            rollouts::{self, RolloutPlay},
         },
     },
     fastrand::Rng,
@@ -76,6 +77,9 @@
     pub program: PathBuf,
     /// Whether the store comes back from older copies now and then.
     pub restores: bool,
+    /// Whether a version of the service is rolled out, every second time a bad one. Not to be used
+    /// with `restores` or `production`.
+    pub rollouts: bool,
     /// The seed of the random faults.
     pub seed: u64,
     /// The period in which faults begin.
@@ -118,6 +122,8 @@
     /// Whether the store comes back from older copies now and then.
     restores: bool,
     rng: Rng,
+    /// The rollout of a version, if there is one.
+    rollout: Option<RolloutPlay>,
     /// The version of the configuration published last.
     pub(crate) version: u64,
 }
@@ -136,6 +142,7 @@
         plan.worker_centres = CENTRES.iter().copied().cycle().take(workers).collect();
         plan.proxied = true;
         plan.work_time = WORK_TIME;
+        plan.rollouts = self.rollouts.then_some(rollouts::BOUNDS);
         let fleet = Fleet::start(&plan)?;
         let workers = fleet.workers.iter().zip(CENTRES.iter().cycle());
         let mut runner = Runner {
@@ -163,9 +170,16 @@
             notices: self.notices,
             restores: self.restores,
             rng: Rng::with_seed(self.seed),
+            rollout: None,
             version: 1,
             fleet,
         };
+        if self.rollouts {
+            // Not the generator of the faults, so that seeds keep these.
+            let mut rng = Rng::with_seed(self.seed);
+            let play = RolloutPlay::begin(&runner.fleet, &mut runner.centres, &mut rng)?;
+            runner.rollout = Some(play);
+        }
         if self.accounts {
             runner.version += 1;
             let (config, keys) = runner.keys.config(runner.version);
@@ -229,6 +243,12 @@
             .violations
             .extend(unserved.map(|request| format!("not served after the recovery: {request:?}")));
         report.faults = faults;
+        if let Some(rollout) = &self.rollout {
+            let executions = self.fleet.executions.entries();
+            let violations = rollout.violations(&executions, &self.history);
+            report.violations.extend(violations);
+            report.rollout = Some(rollout.describe());
+        }
         if let Some(replacements) = &self.replacements {
             let refusals = replacements.refusals(&self.fleet)?;
             report.refused_in_production = Some((refusals.datagrams, refusals.requests));
@@ -272,11 +292,18 @@
                 next += Duration::from_millis(self.rng.u64(50..900));
             }
             self.end_expired()?;
+            self.watch_rollout();
             thread::sleep(POLL_INTERVAL);
         }
         Ok(())
     }
 
+    fn watch_rollout(&mut self) {
+        if let Some(rollout) = &mut self.rollout {
+            rollout.watch(&self.fleet);
+        }
+    }
+
     fn is_replaced(&self) -> bool {
         let replacements = self.replacements.as_ref();
         replacements.is_none_or(Replacements::is_done)
@@ -334,6 +361,10 @@
         while let Some(active) = self.active.pop() {
             self.end(&active)?;
         }
+        while self.rollout.as_ref().is_some_and(|play| !play.is_over()) {
+            self.watch_rollout();
+            thread::sleep(POLL_INTERVAL);
+        }
         for index in 0..self.fleet.size() {
             self.fleet.wait_ready(index)?;
         }
