--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -107,7 +107,10 @@
             // A conflict means that the entry exists, which also settles an earlier call to create
             // it whose result was lost. The daemon is registered once it knows the others too.
             StoreReply::Conflict | StoreReply::Done => {
-                self.registration.maybe_new |= reply == StoreReply::Done;
+                if reply == StoreReply::Done {
+                    self.registration.maybe_new = true;
+                    self.registration.registered = false;
+                }
                 self.registration.lost = false;
                 self.list_members(None, Vec::new(), false);
             }
--- a/crates/store/tests/client/members.rs
+++ b/crates/store/tests/client/members.rs
@@ -146,3 +146,15 @@
     harness.complete(is_replacement, Ok(StoreReply::Done));
     assert!(harness.is_pending(is_member_list));
 }
+
+/// Guards against a daemon whose entry was removed and that goes on using its shares as before.
+#[test]
+fn a_daemon_whose_entry_was_removed_registers_as_new() {
+    let mut harness = Harness::registered();
+    harness.advance(Span::secs(1_000));
+    harness.complete(is_stale_list, Ok(page(Vec::new(), 5)));
+    harness.complete(is_create, Ok(StoreReply::Done));
+    let own = Object::Member(at_rev(6), entry("front-a-1", 1));
+    harness.complete(is_member_list, Ok(page(vec![own], 6)));
+    assert!(harness.events.contains(&StoreEvent::Registered(true)));
+}
