--- a/crates/peer/src/roster.rs
+++ b/crates/peer/src/roster.rs
@@ -2,10 +2,8 @@
 
 use {
     crate::{
-        Format, GossipEntry, Heartbeat, Member, MemberAges, Stage, Watch,
-        gossip::FANOUT,
-        handshake::Handshake,
-        member_ages::{MemberOrder, unpack},
+        Format, GossipEntry, Heartbeat, Member, MemberAges, Stage, Watch, gossip::FANOUT,
+        handshake::Handshake, member_ages::MemberOrder,
     },
     fastrand::Rng,
     site::Revs,
@@ -75,7 +73,7 @@
     pub(crate) members: Map<Name, Member>,
     pub(crate) name: Name,
     /// The members and this daemon; `None` after one was added or removed.
-    order: Option<Arc<MemberOrder>>,
+    pub(crate) order: Option<Arc<MemberOrder>>,
     pub(crate) rng: Rng,
     /// Addresses that may belong to daemons of which nothing else is known.
     pub(crate) seeds: Vec<Ipv4Addr>,
@@ -231,68 +229,6 @@
         actions
     }
 
-    /// The members and this daemon, in an order that is the same at daemons that know the same ones.
-    fn order(&mut self) -> Arc<MemberOrder> {
-        let members = self.members.iter();
-        let order = self.order.get_or_insert_with(|| {
-            let members = members.map(|(name, member)| (name.clone(), member.centre.clone()));
-            let own = (self.name.clone(), self.centre.clone());
-            Arc::new(MemberOrder::new(members.chain([own]).collect()))
-        });
-        Arc::clone(order)
-    }
-
-    /// Whether the daemon at an address is known to have the order with this digest.
-    fn has_order(&self, now: Time, ip: Ipv4Addr, digest: u32) -> bool {
-        self.format_of(now, ip) == Format::Extended
-            && self
-                .members
-                .values()
-                .any(|member| member.ip == ip && member.digest == Some(digest))
-    }
-
-    /// Tells the sender of gossip that isn't in the compact form that this daemon knows the same
-    /// members, so that the next one is.
-    fn tell_digest(
-        &mut self,
-        now: Time,
-        heartbeat: &Heartbeat,
-        own: &OwnState,
-    ) -> Option<RosterAction> {
-        let digest = self.order().digest;
-        let ages = heartbeat.ages.as_ref()?;
-        if heartbeat.gossip.is_empty() || ages.digest != digest {
-            return None;
-        }
-        self.sequence += 1;
-        let mut reply = Box::new(self.heartbeat(now, own));
-        reply.ages = Some(Box::new(MemberAges::only_digest(digest)));
-        Some(RosterAction::Send(heartbeat.ip, reply))
-    }
-
-    /// Updates members by the compact gossip of a heartbeat, if its sender knows the same ones.
-    fn merge_ages(&mut self, now: Time, sender: &Name, centre: &Name, ages: &MemberAges) {
-        let order = self.order();
-        if order.digest != ages.digest {
-            return;
-        }
-        let Some(names) = order.names(centre, ages.ages.len()) else {
-            return;
-        };
-        for (name, byte) in names.into_iter().zip(&ages.ages) {
-            let (Some((age, stage)), false) = (unpack(*byte), name == sender) else {
-                continue;
-            };
-            let heard = now.saturating_sub(age);
-            if let Some(member) = self.members.get_mut(name)
-                && member.last_heard.is_none_or(|at| at < heard)
-            {
-                member.last_heard = Some(heard);
-                member.stage = stage;
-            }
-        }
-    }
-
     /// The name hash of the member at an address.
     fn hash_at(&self, ip: Ipv4Addr) -> Option<u32> {
         let mut members = self.members.iter();
