--- a/crates/wire/tests/responses.rs
+++ b/crates/wire/tests/responses.rs
@@ -102,10 +102,10 @@
 #[test]
 fn a_response_that_ends_within_its_head_is_never_complete() {
     for head in [
-        &b"HTTP/1.1 200 OK\r\nResponse-Signature: a\r\nContent-Length: 12\r\n\r\n"[..],
+        &b"HTTP/1.1 200 OK\r\nSignature: a\r\nContent-Length: 12\r\n\r\n"[..],
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-        b"HTTP/1.1 200 OK\nRequest-Id: a\n\n",
-        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n",
+        b"HTTP/1.1 200 OK\nId: a\n\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n\r\n",
     ] {
         for size in 1..head.len() {
             for end in [ConnectionEnd::Closed, ConnectionEnd::Reset] {
