wire: one place says what a sound head is

Cause: the reader took any three digits for a status, and nothing after it asked whether it is one. Ruled out: bytes relayed as they came (the line was the daemon's own). Field names with blanks or control bytes were rejected before; a test guards that now.

--- a/crates/daemon/tests/failures/workers.rs
+++ b/crates/daemon/tests/failures/workers.rs
@@ -1,9 +1,12 @@
 //! Workers that fail, drain, restart, are slow or are in their cold start.
 
 use {
-    crate::support::{
-        default_plan, new_caller, run_count, run_load, run_load_served, start_fleet, state_dump,
-        usable_workers, wait_for_retries, wait_until,
+    crate::{
+        callers::{exchange, get},
+        support::{
+            default_plan, new_caller, run_count, run_load, run_load_served, start_fleet,
+            state_dump, usable_workers, wait_for_retries, wait_until,
+        },
     },
     site::Worker,
     standin::{Caller, Fleet, Outcome, SERVICE, Upstream, WorkerFault},
@@ -76,6 +79,35 @@
     assert_eq!(report.count(Outcome::Failed), 0, "{}", report.text());
 }
 
+/// Guards against a damaged head of a worker's response that reaches callers, as it is or mended.
+#[test]
+fn a_response_with_a_damaged_head_is_never_delivered() {
+    let faults = [
+        WorkerFault::SpoilsStatus,
+        WorkerFault::SpoilsName(b' '),
+        WorkerFault::SpoilsName(b'\t'),
+        WorkerFault::SpoilsName(0),
+        WorkerFault::SpoilsName(0x1b),
+    ];
+    for fault in faults {
+        let fleet = start_fleet();
+        for worker in &fleet.workers {
+            worker.set_fault(fault);
+        }
+        for (id, method) in [("r-1", "GET"), ("r-2", "POST")] {
+            let request = get("/payouts/1", id, true).replacen("GET", method, 1);
+            let answer = exchange(&fleet, request.as_bytes());
+            assert!(answer.starts_with("HTTP/1.1 502"), "{fault:?}: {answer}");
+            assert!(!answer.contains("Signature"), "{fault:?}: {answer}");
+        }
+    }
+}
+
+#[test]
+fn reads_survive_a_worker_that_damages_the_status_of_its_answers() {
+    reads_survive(WorkerFault::SpoilsStatus);
+}
+
 /// Guards against a response that ends within its head and is passed on as a whole one.
 #[test]
 fn a_response_that_ends_within_its_head_is_never_delivered() {
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -160,6 +160,8 @@
         WorkerFault::Hangs,
         WorkerFault::Resets,
         WorkerFault::Slow(5),
+        WorkerFault::SpoilsName(b' '),
+        WorkerFault::SpoilsStatus,
         WorkerFault::Truncates,
     ];
     faults[rng.usize(..faults.len())]
--- a/crates/standin/src/worker_fault.rs
+++ b/crates/standin/src/worker_fault.rs
@@ -42,6 +42,10 @@
     RepeatsRefusal,
     /// Runs requests and closes the connection without a response.
     Resets,
+    /// Sends responses with status 000.
+    SpoilsStatus,
+    /// Sends responses in whose heads the name of the line with the body's length holds this byte.
+    SpoilsName(u8),
     /// Takes this many times as long as usual, without reporting it.
     Slow(u32),
     /// Sends responses without their last byte.
@@ -98,6 +102,8 @@
             }
             Self::Hangs => Reply::Hang,
             Self::Resets => Reply::Close,
+            Self::SpoilsStatus => spoiled(response, b" 200 ", |bytes| bytes[1] = b'0'),
+            Self::SpoilsName(byte) => spoiled(response, b"Content-Length", |bytes| bytes[7] = byte),
             Self::Truncates => truncated(response),
         }
     }
@@ -111,6 +117,17 @@
     Reply::RawBytes(bytes)
 }
 
+/// The reply that is a response in which the first part that equals `sound` is changed.
+fn spoiled(response: &Response, sound: &[u8], spoil: impl FnOnce(&mut [u8])) -> Reply {
+    let mut bytes = Vec::new();
+    response.encode(&mut bytes, false);
+    let mut parts = bytes.windows(sound.len());
+    if let Some(at) = parts.position(|part| part == sound) {
+        spoil(&mut bytes[at..at + sound.len()]);
+    }
+    Reply::RawBytes(bytes)
+}
+
 /// The reply that ends within a response's head. Where it ends follows from the body, which differs
 /// from request to request.
 fn cut_head(response: &Response) -> Reply {
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -1,6 +1,6 @@
 //! Incremental decoding of message bodies.
 
-use crate::WireError;
+use crate::{WireError, head};
 
 /// Maximum length of a chunk-size or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1 << 10;
@@ -119,9 +119,10 @@
         loop {
             match self.state {
                 ChunkState::Size => {
-                    let Some(size) = take_chunk_size(buf)? else {
+                    let Some(line) = take_line(buf)? else {
                         return Ok(false);
                     };
+                    let size = head::chunk_size(&line)?;
                     if size > self.limit - self.data.len() {
                         return Err(WireError::BodyLimit);
                     }
@@ -155,6 +156,7 @@
                     if line.is_empty() {
                         return Ok(true);
                     }
+                    head::check_trailer(&line)?;
                     if trailer_bytes + line.len() > MAX_TRAILER_BYTES {
                         return Err(WireError::HeadLimit);
                     }
@@ -165,29 +167,15 @@
     }
 }
 
-/// Removes a chunk-size line from the front of `buf` and returns the size in bytes, or `None` if
-/// the line is still incomplete.
-fn take_chunk_size(buf: &mut Vec<u8>) -> Result<Option<usize>, WireError> {
-    match httparse::parse_chunk_size(buf) {
-        Ok(httparse::Status::Complete((used, size))) => {
-            buf.drain(..used);
-            let size = usize::try_from(size).map_err(|_| WireError::BodyLimit)?;
-            Ok(Some(size))
-        }
-        Ok(httparse::Status::Partial) if buf.len() <= MAX_LINE_BYTES => Ok(None),
-        _ => Err(WireError::Framing),
-    }
-}
-
 /// Removes one line from the front of `buf` and returns it without its CRLF, or `None` if the line
 /// is still incomplete.
 fn take_line(buf: &mut Vec<u8>) -> Result<Option<Vec<u8>>, WireError> {
-    let Some(end) = buf.iter().position(|byte| *byte == b'\n') else {
-        return if buf.len() > MAX_LINE_BYTES {
-            Err(WireError::Framing)
-        } else {
-            Ok(None)
-        };
+    let end = buf.iter().position(|byte| *byte == b'\n');
+    if end.unwrap_or(buf.len()) > MAX_LINE_BYTES {
+        return Err(WireError::Framing);
+    }
+    let Some(end) = end else {
+        return Ok(None);
     };
     let mut line: Vec<u8> = buf.drain(..=end).collect();
     line.pop();
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -42,6 +42,13 @@
         std::str::from_utf8(value).ok().map(str::trim)
     }
 
+    /// The trimmed value of the only line with this name, ignoring case. `None` if there is no such
+    /// line or more than one, or if its value is empty or isn't UTF-8.
+    pub fn only(&self, name: &str) -> Option<&str> {
+        let value = self.get(name).filter(|value| !value.is_empty());
+        value.filter(|_| self.count(name) == 1)
+    }
+
     /// The trimmed values of all lines with this name, without those that aren't UTF-8.
     pub fn get_all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         self.0
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 mod body;
 mod error;
 mod exchange;
+mod head;
 mod headers;
 mod limits;
 mod request;
@@ -15,6 +16,7 @@
 pub use {
     error::WireError,
     exchange::exchange,
+    head::is_header_value,
     headers::Headers,
     limits::Limits,
     request::Request,
--- a/crates/wire/src/request_reader.rs
+++ b/crates/wire/src/request_reader.rs
@@ -1,7 +1,7 @@
 use crate::{
-    Headers, Limits, Request, WireError,
+    Limits, Request, WireError,
     body::{BodyReader, Framing},
-    limits::MAX_HEADERS,
+    head,
 };
 
 /// Parses the requests of one connection incrementally.
@@ -77,10 +77,9 @@
         }
         let limits = *self.begun.get_or_insert(self.limits);
         if self.partial.is_none() {
-            let Some(request) = self.parse_head(limits)? else {
+            let Some((request, framing)) = head::take_request(&mut self.buf, limits)? else {
                 return Ok(None);
             };
-            let framing = framing(&request)?;
             let body = BodyReader::new(framing, limits.body_bytes)?;
             self.continue_due =
                 framing != Framing::Sized(0) && request.headers.has_token("expect", "100-continue");
@@ -98,39 +97,4 @@
         self.partial = Some((request, body));
         Ok(None)
     }
-
-    /// Removes a request head from the front of the buffer, or returns `None` if it is incomplete.
-    fn parse_head(&mut self, limits: Limits) -> Result<Option<Request>, WireError> {
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut head = httparse::Request::new(&mut headers);
-        let size = match head.parse(&self.buf) {
-            Ok(httparse::Status::Complete(size)) if size <= limits.head_bytes => size,
-            Ok(httparse::Status::Partial) if self.buf.len() <= limits.head_bytes => {
-                return Ok(None);
-            }
-            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(WireError::HeadLimit),
-            Err(_) => return Err(WireError::Malformed),
-        };
-        let request = Request {
-            body: Vec::new(),
-            headers: Headers::from_raw(head.headers),
-            method: head.method.unwrap_or_default().to_owned(),
-            target: head.path.unwrap_or_default().to_owned(),
-            is_http10: head.version != Some(1),
-        };
-        self.buf.drain(..size);
-        Ok(Some(request))
-    }
-}
-
-/// Determines how a request's body ends. Rejects framing headers of which two parsers could
-/// understand different things, since that allows request smuggling.
-fn framing(request: &Request) -> Result<Framing, WireError> {
-    let length = request.headers.content_length()?;
-    match (request.headers.is_chunked()?, length) {
-        (true, Some(_)) => Err(WireError::Framing),
-        (true, None) if request.is_http10 => Err(WireError::Framing),
-        (true, None) => Ok(Framing::Chunked),
-        (false, length) => Ok(Framing::Sized(length.unwrap_or_default())),
-    }
 }
--- a/crates/wire/src/response_reader.rs
+++ b/crates/wire/src/response_reader.rs
@@ -1,7 +1,7 @@
 use crate::{
-    Headers, Limits, Response, WireError,
+    Limits, Response, WireError,
     body::{BodyReader, Framing},
-    limits::MAX_HEADERS,
+    head::{self, ResponseHead},
 };
 
 /// How many interim responses may precede a response.
@@ -67,20 +67,20 @@
     /// Fails with any [`WireError`] but `Truncated`. The reader must not be used afterwards.
     pub fn next_response(&mut self, to_head: bool) -> Result<Option<Response>, WireError> {
         while self.partial.is_none() {
-            let Some(response) = self.parse_head()? else {
-                return Ok(None);
-            };
-            if response.status / 100 == 1 {
-                self.interim += 1;
-                if self.interim > MAX_INTERIM {
-                    return Err(WireError::HeadLimit);
+            match head::take_response(&mut self.buf, self.limits, to_head)? {
+                None => return Ok(None),
+                Some(ResponseHead::Interim) => {
+                    self.interim += 1;
+                    if self.interim > MAX_INTERIM {
+                        return Err(WireError::HeadLimit);
+                    }
+                }
+                Some(ResponseHead::Final(response, framing)) => {
+                    self.interim = 0;
+                    let body = BodyReader::new(framing, self.limits.body_bytes)?;
+                    self.partial = Some((response, body));
                 }
-                continue;
             }
-            self.interim = 0;
-            let framing = framing(&response, to_head)?;
-            let body = BodyReader::new(framing, self.limits.body_bytes)?;
-            self.partial = Some((response, body));
         }
         let Some((mut response, mut body)) = self.partial.take() else {
             return Ok(None);
@@ -133,42 +133,4 @@
             _ => Err(WireError::Truncated),
         }
     }
-
-    /// Removes a response head from the front of the buffer, or returns `None` if it is incomplete.
-    fn parse_head(&mut self) -> Result<Option<Response>, WireError> {
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut head = httparse::Response::new(&mut headers);
-        let size = match head.parse(&self.buf) {
-            Ok(httparse::Status::Complete(size)) if size <= self.limits.head_bytes => size,
-            Ok(httparse::Status::Partial) if self.buf.len() <= self.limits.head_bytes => {
-                return Ok(None);
-            }
-            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(WireError::HeadLimit),
-            Err(_) => return Err(WireError::Malformed),
-        };
-        let headers = Headers::from_raw(head.headers);
-        let response = Response {
-            body: Vec::new(),
-            closes_connection: headers.has_close()
-                || (head.version != Some(1) && !headers.has_token("connection", "keep-alive")),
-            headers,
-            status: head.code.unwrap_or_default(),
-        };
-        self.buf.drain(..size);
-        Ok(Some(response))
-    }
-}
-
-/// Determines how a response's body ends.
-fn framing(response: &Response, to_head: bool) -> Result<Framing, WireError> {
-    if to_head || matches!(response.status, 204 | 304) {
-        return Ok(Framing::Sized(0));
-    }
-    let length = response.headers.content_length()?;
-    match (response.headers.is_chunked()?, length) {
-        (true, Some(_)) => Err(WireError::Framing),
-        (true, None) => Ok(Framing::Chunked),
-        (false, Some(size)) => Ok(Framing::Sized(size)),
-        (false, None) => Ok(Framing::UntilClose),
-    }
 }
