store: a watch on a silent connection is sent again in time

Cause: only a watch's timeout of 7.5 s, or a check that reads a copy 3 s old, ends a watch on a silent connection. Ruled out: a watcher that knows and others that don't (all follow within 0.3 s of the first).

Change: a watch waits 3 s and times out after 4; a confirmed one that does so renews all at once and is no failure of the store. Two tests that used such a timeout for 'a failed call' use a lost connection now, and a new one says what the timeout means.

--- a/crates/daemon/src/store_conn.rs
+++ b/crates/daemon/src/store_conn.rs
@@ -271,6 +271,7 @@
             StoreEvent::WatchesRenewed(watches, reason) => {
                 let reason = match reason {
                     RenewalReason::Outdated => "a probe brought a change that the watch lacks",
+                    RenewalReason::Silent => "a watch had no response in its time",
                     RenewalReason::Unanswered => "the store left a call without a response",
                 };
                 let fields = json!({"watches": watches, "reason": reason});
--- a/crates/daemon/tests/failures/store.rs
+++ b/crates/daemon/tests/failures/store.rs
@@ -8,7 +8,7 @@
     },
     serde_json::json,
     site::{Worker, WorkerState},
-    standin::{Fleet, FleetPlan, PAGE_SIZE, StoreFault},
+    standin::{Fleet, FleetPlan, PAGE_SIZE, ProxyFault, StoreFault},
     std::{
         thread,
         time::{Duration, Instant},
@@ -64,6 +64,41 @@
     }
 }
 
+/// Guards against watches that wait on channels which have gone silent for good, while checks are
+/// answered by a copy of the store that doesn't have the change yet.
+#[test]
+fn changes_take_effect_in_time_though_open_channels_to_the_store_went_silent() {
+    let fleet = Fleet::start(&FleetPlan {
+        daemon_centres: vec!["a", "a", "b", "b"],
+        proxied: true,
+        ..default_plan()
+    })
+    .expect("a fleet");
+    fleet.store.set_copy_age(Duration::from_secs(3));
+    for round in 0..3 {
+        // The watches began at different times before the silence.
+        thread::sleep(Duration::from_millis(900 * round));
+        for proxy in &fleet.store_proxies {
+            proxy.set_fault(ProxyFault::BlackholeWaiting);
+            proxy.set_fault(ProxyFault::None);
+        }
+        thread::sleep(STABLE_WINDOW);
+        let version = 2 + round;
+        let written = Instant::now();
+        fleet.store.put_config(&standin::config(version));
+        fleet.store.evacuate("b");
+        wait_for_config(&fleet, version);
+        for at in 0..fleet.size() {
+            wait_until("the evacuation is known", || {
+                state_dump(&fleet, at)["evacuated"] == json!(["b"])
+            });
+        }
+        let took = written.elapsed();
+        assert!(took < CONFIG_APPLY, "round {round}: {took:?}");
+        fleet.store.end_evacuation("b");
+    }
+}
+
 #[test]
 fn changes_lost_from_a_compacted_history_are_found() {
     let fleet = start_fleet();
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -11,13 +11,15 @@
             atomic::{AtomicBool, Ordering},
         },
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
 /// Bytes read at a time.
 const CHUNK_SIZE: usize = 16 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A connection that was silent for so long waits for a response, or is idle.
+const WAITING: Duration = Duration::from_secs(1);
 
 /// The fault that a proxy injects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -36,6 +38,8 @@
     /// Discards everything on connections open at the time, for as long as they last, even after
     /// the fault ends; newer connections work.
     BlackholeOpen,
+    /// The same, but only for connections on which no byte has passed for [`WAITING`].
+    BlackholeWaiting,
 }
 
 /// How a proxy cuts one client off from its server.
@@ -49,10 +53,31 @@
     Reset,
 }
 
+/// What the two directions of a connection share.
+struct Traffic {
+    /// Whether everything is discarded.
+    blackholed: AtomicBool,
+    /// When bytes last passed.
+    passed: Mutex<Instant>,
+}
+
+impl Traffic {
+    fn is_blackholed(&self) -> bool {
+        self.blackholed.load(Ordering::Relaxed)
+    }
+
+    fn blackhole(&self) {
+        self.blackholed.store(true, Ordering::Relaxed);
+    }
+
+    fn passed(&self) -> MutexGuard<'_, Instant> {
+        self.passed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// An open connection.
 struct ProxiedConn {
-    /// Whether it discards everything.
-    blackholed: Arc<AtomicBool>,
+    traffic: Arc<Traffic>,
     client: TcpStream,
     /// The client's address.
     from: IpAddr,
@@ -106,7 +131,14 @@
             ProxyFault::Reset => self.shared.close_connections(),
             ProxyFault::BlackholeOpen => {
                 for conn in self.shared.conns().iter() {
-                    conn.blackholed.store(true, Ordering::Relaxed);
+                    conn.traffic.blackhole();
+                }
+            }
+            ProxyFault::BlackholeWaiting => {
+                for conn in self.shared.conns().iter() {
+                    if conn.traffic.passed().elapsed() >= WAITING {
+                        conn.traffic.blackhole();
+                    }
                 }
             }
             _ => {}
@@ -129,7 +161,7 @@
             .filter(|conn| conn.from == client)
         {
             match cut {
-                Some(Cut::Hang) => conn.blackholed.store(true, Ordering::Relaxed),
+                Some(Cut::Hang) => conn.traffic.blackhole(),
                 Some(Cut::Reset) => conn.close(),
                 Some(Cut::RefuseNew) | None => {}
             }
@@ -185,9 +217,12 @@
         }
         // If the server can't be reached, the client's connection is closed.
         if let Ok(server) = connect_from(from, server) {
-            let blackholed = Arc::new(AtomicBool::new(cut == Some(Cut::Hang)));
+            let traffic = Arc::new(Traffic {
+                blackholed: AtomicBool::new(cut == Some(Cut::Hang)),
+                passed: Mutex::new(Instant::now()),
+            });
             let conn = ProxiedConn {
-                blackholed,
+                traffic,
                 client,
                 from,
                 server,
@@ -222,8 +257,8 @@
             ProxyFault::DropToClient,
         ),
     ] {
-        let (shared, blackholed) = (Arc::clone(shared), Arc::clone(&conn.blackholed));
-        thread::spawn(move || copy(from, to, drop_fault, &blackholed, &shared));
+        let (shared, traffic) = (Arc::clone(shared), Arc::clone(&conn.traffic));
+        thread::spawn(move || copy(from, to, drop_fault, &traffic, &shared));
     }
     let mut conns = shared.conns();
     conns.retain(|conn| conn.client.peer_addr().is_ok());
@@ -237,7 +272,7 @@
     mut from: TcpStream,
     mut to: TcpStream,
     drop_fault: ProxyFault,
-    blackholed: &AtomicBool,
+    traffic: &Traffic,
     shared: &Shared,
 ) {
     let mut chunk = vec![0; CHUNK_SIZE];
@@ -250,14 +285,15 @@
         if let ProxyFault::Delay(delay) = fault {
             thread::sleep(delay);
         }
-        if fault == drop_fault || blackholed.load(Ordering::Relaxed) {
+        *traffic.passed() = Instant::now();
+        if fault == drop_fault || traffic.is_blackholed() {
             continue;
         }
         if to.write_all(&chunk[..size]).is_err() {
             break;
         }
     }
-    if !blackholed.load(Ordering::Relaxed) {
+    if !traffic.is_blackholed() {
         // Shutting down fails if the connection is already closed.
         let _ = to.shutdown(Shutdown::Write);
     }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -147,6 +147,11 @@
         self.shared.changed.notify_all();
     }
 
+    /// Sets how old the copy is that answers watches which allow that.
+    pub fn set_copy_age(&self, age: Duration) {
+        self.shared.lock().copy_age = age;
+    }
+
     /// Copies the objects, for [`Self::restore`].
     pub fn back_up(&self) {
         self.shared.lock().back_up();
@@ -246,8 +251,19 @@
         let Some(call) = read_store_call(request) else {
             return Reply::Response(Response::new(400));
         };
-        if let ReceivedCall::Watch { from, kind, wait } = &call {
-            return self.watch(*from, kind, (*wait).into());
+        if let ReceivedCall::Watch {
+            from,
+            kind,
+            stale_ok,
+            wait,
+        } = &call
+        {
+            let age = if *stale_ok {
+                self.lock().copy_age
+            } else {
+                Duration::ZERO
+            };
+            return self.watch(*from, kind, age, (*wait).into());
         }
         let mut state = self.lock();
         let write = !matches!(call, ReceivedCall::List { .. });
@@ -266,8 +282,9 @@
         }
     }
 
-    /// Waits at most `timeout` for changes of a kind after revision `from`, and responds with them.
-    fn watch(&self, from: Rev, kind: &str, timeout: Duration) -> Reply {
+    /// Waits at most `timeout` for changes of a kind after revision `from` in a copy of the given age,
+    /// and responds with them.
+    fn watch(&self, from: Rev, kind: &str, age: Duration, timeout: Duration) -> Reply {
         let end = Instant::now() + timeout;
         let mut state = self.lock();
         loop {
@@ -278,13 +295,18 @@
             if !silent && state.fault != StoreFault::None {
                 return Reply::Close;
             }
-            let events = state.events_since(from, kind);
+            let events = state.events_since(from, kind, age);
             let remaining = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || remaining.is_zero() {
                 if silent {
                     return Reply::Hang;
                 }
-                return Reply::Response(events_response(&events, state.rev));
+                let rev = if age.is_zero() { state.rev } else { from };
+                let newest = events.iter().map(|(object, _)| object.rev).max();
+                return Reply::Response(events_response(
+                    &events,
+                    newest.map_or(rev, |newest| newest.max(rev)),
+                ));
             }
             let waited = self.changed.wait_timeout(state, remaining);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -5,13 +5,17 @@
     platform::standin::{ReceivedCall, StoredObject, object_response, page_response},
     serde_json::Value,
     site::Rev,
-    std::collections::BTreeMap,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
     unit::Name,
     wire::Response,
 };
 
 /// A change to an object, as watches report it.
 pub(super) struct ObjectEvent {
+    pub(super) at: Instant,
     pub(super) deleted: bool,
     pub(super) kind: String,
     pub(super) object: StoredObject,
@@ -49,6 +53,8 @@
     /// Whether the store comes back from its copy right after the next write.
     pub(super) loses_next: bool,
     pub(super) fault: StoreFault,
+    /// How old the copy is that answers calls which allow that.
+    pub(super) copy_age: Duration,
     /// The objects by kind and name.
     pub(super) objects: BTreeMap<(String, Name), StoredObject>,
     /// The revision of the newest change.
@@ -197,6 +203,7 @@
 
     fn replace(&mut self, key: (String, Name), object: StoredObject) -> StoredObject {
         self.history.push(ObjectEvent {
+            at: Instant::now(),
             deleted: false,
             kind: key.0.clone(),
             object: object.clone(),
@@ -212,6 +219,7 @@
         self.rev.number += 1;
         object.rev = self.rev;
         self.history.push(ObjectEvent {
+            at: Instant::now(),
             deleted: true,
             kind: kind.to_owned(),
             object,
@@ -219,11 +227,17 @@
     }
 
     /// Returns the objects of a kind that changed after a revision, each with whether it was
-    /// deleted.
-    pub(super) fn events_since(&self, from: Rev, kind: &str) -> Vec<(StoredObject, bool)> {
+    /// deleted, as a copy of the given age has them.
+    pub(super) fn events_since(
+        &self,
+        from: Rev,
+        kind: &str,
+        age: Duration,
+    ) -> Vec<(StoredObject, bool)> {
         let newer = self.history.iter();
         newer
             .filter(|event| event.kind == kind && event.object.rev > from)
+            .filter(|event| event.at.elapsed() >= age)
             .map(|event| (event.object.clone(), event.deleted))
             .collect()
     }
--- a/crates/store/src/action.rs
+++ b/crates/store/src/action.rs
@@ -37,6 +37,9 @@
 pub enum RenewalReason {
     /// A probe brought a change that the watch has not delivered.
     Outdated,
+    /// A watch had no response in its time though the store answers probes, so that its connection
+    /// must be silent, and others may be.
+    Silent,
     /// The store left a call without a response, or refused a probe.
     Unanswered,
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        StoreAction, StoreCallError, StoreCallId, StoreEvent,
+        RenewalReason, StoreAction, StoreCallError, StoreCallId, StoreEvent,
         probe::Probe,
         registration::{Registration, RegistrationPhase},
         topic_sync::{SyncPhase, TopicSync},
@@ -255,6 +255,14 @@
         let mut topics = self.topics.iter();
         let index = topics.position(|sync| sync.pending_call() == Some(id));
         let topic = index.map(|index| self.topics[index].topic);
+        if result == Err(StoreCallError::Timeout)
+            && self.failing_at.is_none()
+            && index.is_some_and(|index| self.topics[index].is_confirmed())
+        {
+            // The store answers probes, so the connection of the watch is at fault.
+            self.renew_watches(now, RenewalReason::Silent);
+            return std::mem::take(&mut self.actions);
+        }
         if succeeded {
             self.record_success();
         } else {
--- a/crates/store/src/probe.rs
+++ b/crates/store/src/probe.rs
@@ -55,7 +55,7 @@
     ) {
         let Some(reply) = reply else {
             self.probe = Probe::Due(now + PROBE_PAUSE);
-            self.cancel_watches(now);
+            self.renew_watches(now, RenewalReason::Unanswered);
             return;
         };
         for sync in &mut self.topics {
@@ -99,9 +99,9 @@
         }
     }
 
-    /// Cancels all pending watches, which may never complete after a probe has failed. They are sent
-    /// again once the store responds.
-    fn cancel_watches(&mut self, now: Time) {
+    /// Cancels all pending watches, which may never complete. They are sent again once the store
+    /// responds.
+    pub(crate) fn renew_watches(&mut self, now: Time, reason: RenewalReason) {
         let mut count = 0;
         for sync in &mut self.topics {
             if let SyncPhase::Watching { call, .. } = sync.phase {
@@ -111,7 +111,7 @@
                 count += 1;
             }
         }
-        self.notify_renewed(count, RenewalReason::Unanswered);
+        self.notify_renewed(count, reason);
     }
 
     fn notify_renewed(&mut self, watches: usize, reason: RenewalReason) {
--- a/crates/store/src/topic_sync.rs
+++ b/crates/store/src/topic_sync.rs
@@ -72,6 +72,17 @@
         }
     }
 
+    /// Whether a watch is pending that the store is known to have received.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        matches!(
+            self.phase,
+            SyncPhase::Watching {
+                confirmed: true,
+                ..
+            }
+        )
+    }
+
     /// Lets the next call be a watch that returns at once; the caller cancels a pending one.
     pub(crate) fn renew(&mut self, now: Time) {
         self.immediate = true;
--- a/crates/store/src/topics.rs
+++ b/crates/store/src/topics.rs
@@ -12,10 +12,14 @@
     unit::{Name, Span, Time},
 };
 
-/// How long the store waits for a change before it responds to a watch without one.
-const WATCH_WAIT: Span = Span::secs(6);
-/// How much longer than [`WATCH_WAIT`] a watch may take before it times out.
-const WATCH_SLACK: Span = Span::millis(1_500);
+/// How long the store waits for a change before it responds to a watch without one. A connection may
+/// go silent for good while others work, which only a missing response shows. Users count a daemon as
+/// in touch again 3 s after that, and from then on changes have to take effect within 2 s of their
+/// acknowledgement; [`WATCH_SLACK`] and the spreading to other daemons count, too.
+const WATCH_WAIT: Span = Span::secs(3);
+/// How much longer than [`WATCH_WAIT`] a watch may take before it times out. Longer than a probe may,
+/// so that a store that fails altogether is found out before.
+const WATCH_SLACK: Span = Span::secs(1);
 /// The pause between the response to a watch and the next watch, so that changes made shortly after
 /// one another arrive in one response.
 const WATCH_PAUSE: Span = Span::millis(300);
--- a/crates/store/tests/client/harness.rs
+++ b/crates/store/tests/client/harness.rs
@@ -26,6 +26,8 @@
     /// The events reported so far, oldest first.
     pub(crate) events: Vec<StoreEvent>,
     pub(crate) now: Time,
+    /// The timeouts of all calls so far.
+    timeouts: Vec<(StoreCallId, Span)>,
     /// The revision up to which the daemon knows each topic.
     pub(crate) revs: Revs,
 }
@@ -38,6 +40,7 @@
             client: StoreClient::new(entry("front-a-1", 1), now, fastrand::Rng::with_seed(1)),
             events: Vec::new(),
             now,
+            timeouts: Vec::new(),
             revs: Revs::default(),
         }
     }
@@ -97,13 +100,24 @@
     pub(crate) fn apply(&mut self, actions: Vec<StoreAction>) {
         for action in actions {
             match action {
-                StoreAction::Call(id, call, _) => self.calls.push((id, call)),
+                StoreAction::Call(id, call, timeout) => {
+                    self.calls.push((id, call));
+                    self.timeouts.push((id, timeout));
+                }
                 StoreAction::Cancel(id) => self.calls.retain(|(other, _)| *other != id),
                 StoreAction::Notify(event) => self.events.push(event),
             }
         }
     }
 
+    /// The timeout of the oldest pending call that matches.
+    pub(crate) fn timeout(&self, matching: impl Fn(&StoreCall) -> bool) -> Span {
+        let call = self.calls.iter().find(|(_, call)| matching(call));
+        let (id, _) = call.expect("a matching call is pending");
+        let timeout = self.timeouts.iter().find(|(other, _)| other == id);
+        timeout.expect("every call has a timeout").1
+    }
+
     /// Whether a matching call is pending.
     pub(crate) fn is_pending(&self, matching: impl Fn(&StoreCall) -> bool) -> bool {
         self.calls.iter().any(|(_, call)| matching(call))
--- a/crates/store/tests/client/silence.rs
+++ b/crates/store/tests/client/silence.rs
@@ -3,8 +3,8 @@
 use {
     crate::harness::{Harness, at_rev, evacuated, is_check, is_probe, is_watch, no_change},
     platform::{StoreCall, StoreReply},
-    site::Topic,
-    store::{StoreCallError, StoreEvent},
+    site::{Departure, Topic},
+    store::{RenewalReason, StoreCallError, StoreEvent},
     unit::Span,
 };
 
@@ -134,3 +134,44 @@
     harness.advance(Span::ZERO);
     assert!(!harness.is_pending(renewed));
 }
+
+/// Guards against a watch whose connection went silent for good while others work: it must be sent
+/// again early enough that a change made 3 s after the silence began takes effect within 2 s.
+#[test]
+fn a_watch_without_a_response_is_sent_again_in_time() {
+    let harness = Harness::watching();
+    for topic in Topic::ALL {
+        let timeout = harness.timeout(is_watch(topic));
+        assert!(timeout <= Span::millis(4_000), "{topic:?}: {timeout:?}");
+    }
+}
+
+/// Guards against a silent connection that is taken for a failure of the store: the watch would wait
+/// for a backoff, and workers that left would count as lapsed.
+#[test]
+fn a_watch_that_times_out_while_the_store_answers_probes_renews_all_at_once() {
+    let mut harness = Harness::watching();
+    harness.advance(Span::secs(4));
+    harness.complete(is_probe, Ok(no_change()));
+    harness.complete(is_watch(Topic::Config), Err(StoreCallError::Timeout));
+    assert!(none_watched(&harness) && !harness.client.watching());
+    assert!(!harness.client.failing(harness.now));
+    assert_eq!(harness.client.departure(harness.now), Departure::Left);
+    let renewed = StoreEvent::WatchesRenewed(3, RenewalReason::Silent);
+    assert!(harness.events.contains(&renewed));
+    harness.advance(Span::ZERO);
+    assert!(all_watched(&harness) && harness.is_pending(is_probe));
+    harness.complete(is_probe, Ok(no_change()));
+    assert!(harness.client.watching());
+}
+
+/// A watch that no probe has confirmed may have met a store that fails.
+#[test]
+fn an_unconfirmed_watch_that_times_out_is_a_failure_of_the_store() {
+    let mut harness = Harness::watching();
+    let reply = StoreReply::Events(Vec::new(), at_rev(6));
+    harness.complete(is_watch(Topic::Config), Ok(reply));
+    harness.advance(Span::millis(350));
+    harness.complete(is_watch(Topic::Config), Err(StoreCallError::Timeout));
+    assert!(harness.client.failing(harness.now));
+}
--- a/crates/store/tests/client/topics.rs
+++ b/crates/store/tests/client/topics.rs
@@ -118,7 +118,7 @@
 fn departure_is_a_lapse_only_shortly_after_a_failure() {
     let mut harness = Harness::watching();
     assert_eq!(harness.client.departure(harness.now), Departure::Left);
-    harness.complete(is_watch(Topic::Config), Err(StoreCallError::Timeout));
+    harness.complete(is_watch(Topic::Config), Err(StoreCallError::Connection));
     assert_eq!(harness.client.departure(harness.now), Departure::Lapsed);
     assert_eq!(
         harness.client.departure(harness.now + Span::secs(10)),
@@ -177,7 +177,7 @@
 #[test]
 fn new_watcher_ignores_an_old_failure() {
     let mut harness = Harness::watching();
-    harness.complete(is_watch(Topic::Config), Err(StoreCallError::Timeout));
+    harness.complete(is_watch(Topic::Config), Err(StoreCallError::Connection));
     harness.set_role(Role::Follower);
     assert!(harness.client.failing(harness.now));
     harness.advance(Span::secs(10));
