Keep no response that no caller gets

Cause: a response that isn't passed on was kept up to 16 MB for each connection. Ruled out: heads (6 MB) and answers that are passed on (19 MB), which had bounds.

Change: call::PartialVerdict decides by the head and by the memory of all responses; what may not be delivered fails or is dropped at once.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -23,6 +23,7 @@
 mod leaving;
 mod news;
 mod notice_change;
+mod partial;
 mod policy;
 mod preview;
 mod reaching;
@@ -49,6 +50,7 @@
     id::{CallId, LinkId},
     leaving::LeavingCount,
     notice_change::NoticeChange,
+    partial::{PartialBody, PartialVerdict},
     policy::Policy,
     preview::{Preview, PreviewVerdict, PreviewWorker},
     reaching::ReachChange,
--- a/crates/daemon/src/constants.rs
+++ b/crates/daemon/src/constants.rs
@@ -26,5 +26,3 @@
 pub(crate) const RESERVED_FDS: u32 = 200;
 /// The fraction of a worker's connection limit that all daemons together may use.
 pub(crate) const WORKER_CONN_FRACTION: f64 = 0.9;
-/// The maximum body size of a response of a worker that isn't passed on while it arrives, in bytes.
-pub(crate) const MAX_RESPONSE_BYTES: usize = 16 << 20;
--- a/crates/daemon/src/forwards.rs
+++ b/crates/daemon/src/forwards.rs
@@ -1,8 +1,11 @@
 //! Requests that this daemon passes on to another one, since it can't reach the workers itself.
 
 use {
-    crate::{conn::ConnKind, constants::MAX_RESPONSE_BYTES, daemon::Daemon, workers::LinkState},
-    call::{CallError, CallEvent, CallId, ForwardEnding, ForwardOrder, LinkId, keeps_whole},
+    crate::{conn::ConnKind, daemon::Daemon, relays::partial_body, workers::LinkState},
+    call::{
+        AttemptEnding, CallError, CallEvent, CallId, ForwardEnding, ForwardOrder, LinkId,
+        PartialVerdict,
+    },
     forward::{ForwardExtended, ForwardReply, ForwardRequest},
     peer::{Format, FrameCodec, PeerRequest},
     platform::{encode_passed_on, read_response_head},
@@ -197,29 +200,29 @@
                 let (call, part) = (conn.call, conn.reader.take_body());
                 self.relay_body(now, call, &part, false);
             }
-            Ok(None) => self.consider_forwarded_relay(now, conn_key),
+            Ok(None) => self.judge_forwarded(now, conn_key),
             Err(_) => self.forward_closed(now, conn_key),
         }
     }
 
-    /// Passes a large response on from now, while it arrives.
-    fn consider_forwarded_relay(&mut self, now: Time, conn_key: usize) {
+    /// Decides what becomes of a response that is still arriving. The helper has judged it, so that
+    /// it may be delivered, but for its id.
+    fn judge_forwarded(&mut self, now: Time, conn_key: usize) {
         let Some(ConnKind::Forward(conn)) = self.conns.get(conn_key).map(|conn| &conn.kind) else {
             return;
         };
         let Some(partial) = conn.reader.partial() else {
             return;
         };
-        if keeps_whole(partial.length, partial.buffered, || self.buffered_bytes()) {
-            return;
-        }
         let head = read_response_head(partial.head);
-        let same_id = head.id.as_deref() == Some(&*conn.id);
         let (call, link, run) = (conn.call, conn.link, conn.run);
-        if !same_id {
-            if partial.length.unwrap_or(partial.buffered) > MAX_RESPONSE_BYTES {
-                self.forward_closed(now, conn_key);
-            }
+        if head.id.as_deref() != Some(&*conn.id) {
+            self.forward_closed(now, conn_key);
+            return;
+        }
+        let served = Some(AttemptEnding::Served);
+        let verdict = PartialVerdict::new(served, partial_body(&partial), || self.buffered_bytes());
+        if verdict != PartialVerdict::PassOn {
             return;
         }
         if let Some(conn) = self.forward_conn(conn_key) {
--- a/crates/daemon/src/relays.rs
+++ b/crates/daemon/src/relays.rs
@@ -4,7 +4,6 @@
     crate::{
         callers::{PendingResponse, ResponseProgress},
         conn::ConnKind,
-        constants::MAX_RESPONSE_BYTES,
         daemon::Daemon,
         log_event,
         requests::{ActiveRequest, error_response},
@@ -12,14 +11,14 @@
         workers::WorkerPhase,
     },
     call::{
-        AttemptEnding, AttemptReport, CallError, CallEvent, CallId, Relay, RelayFailure,
-        keeps_whole,
+        AttemptEnding, AttemptReport, CallError, CallEvent, CallId, LinkId, PartialBody,
+        PartialVerdict, Relay, RelayFailure,
     },
     forward::ForwardReply,
-    platform::read_response_head,
+    platform::{ResponseHead, read_response_head},
     serde_json::json,
     unit::Time,
-    wire::{BodyCoding, ResponseReader},
+    wire::{BodyCoding, PartialResponse, Response, ResponseReader},
 };
 
 /// A response that is being passed on to its caller.
@@ -37,9 +36,8 @@
 }
 
 impl Daemon {
-    /// Looks at a response that is still arriving. Reports the attempt as served if the response is
-    /// to be passed on from now, and as failed if it is too large for one that isn't passed on.
-    pub(crate) fn consider_relay(&mut self, now: Time, conn_key: usize) {
+    /// Decides what becomes of a response that is still arriving.
+    pub(crate) fn judge_partial(&mut self, now: Time, conn_key: usize) {
         let Some(ConnKind::Worker(worker)) = self.conns.get(conn_key).map(|conn| &conn.kind) else {
             return;
         };
@@ -49,30 +47,59 @@
         let Some(partial) = worker.reader.partial() else {
             return;
         };
-        if keeps_whole(partial.length, partial.buffered, || self.buffered_bytes()) {
-            return;
-        }
         let (call, link) = (*call, *link);
-        let length = partial.length.unwrap_or(partial.buffered);
         let head = read_response_head(partial.head);
-        let served = classify(&head, partial.head) == AttemptEnding::Served;
-        if served && head.id.as_deref() == Some(&**id) {
-            if let Some(worker) = self.worker_conn(conn_key) {
-                worker.phase = WorkerPhase::Relaying(call);
+        let ending = match &head.id {
+            Some(other) if **other != **id => None,
+            Some(_) => Some(classify(&head, partial.head)),
+            None => Some(AttemptEnding::InvalidResponse),
+        };
+        let body = partial_body(&partial);
+        match PartialVerdict::new(ending, body, || self.buffered_bytes()) {
+            PartialVerdict::End => {
+                let response = Response {
+                    closes_connection: true,
+                    ..partial.head.clone()
+                };
+                self.attempt_responded(now, conn_key, link, &head, response);
+            }
+            PartialVerdict::Keep => {}
+            PartialVerdict::PassOn => {
+                self.record_transfer(link, body.length.unwrap_or(body.buffered));
+                self.relay_begins(now, conn_key, call, link, &head);
+            }
+            PartialVerdict::Reject => {
+                self.worker_failed(now, conn_key, AttemptEnding::InvalidResponse);
             }
-            self.record_transfer(link, length);
-            let report = AttemptReport {
-                ending: AttemptEnding::Served,
-                load: head.load,
-                notice: Some(head.notice),
-            };
-            self.dispatch(now, CallEvent::AttemptEnded(link, report));
-            if !self.relays.contains_key(&call) {
-                // The request has ended meanwhile.
-                self.close_worker(conn_key);
+            PartialVerdict::Skip => {
+                if let Some(worker) = self.worker_conn(conn_key) {
+                    worker.reader.take_body();
+                }
             }
-        } else if partial.length.unwrap_or(partial.buffered) > MAX_RESPONSE_BYTES {
-            self.worker_failed(now, conn_key, AttemptEnding::InvalidResponse);
+        }
+    }
+
+    /// Reports an attempt as served whose response is passed on from now.
+    fn relay_begins(
+        &mut self,
+        now: Time,
+        conn_key: usize,
+        call: CallId,
+        link: LinkId,
+        head: &ResponseHead,
+    ) {
+        if let Some(worker) = self.worker_conn(conn_key) {
+            worker.phase = WorkerPhase::Relaying(call);
+        }
+        let report = AttemptReport {
+            ending: AttemptEnding::Served,
+            load: head.load,
+            notice: Some(head.notice),
+        };
+        self.dispatch(now, CallEvent::AttemptEnded(link, report));
+        if !self.relays.contains_key(&call) {
+            // The request has ended meanwhile.
+            self.close_worker(conn_key);
         }
     }
 
@@ -296,3 +323,12 @@
         self.conns.iter().map(|(_, conn)| of_conn(conn)).sum()
     }
 }
+
+/// What has arrived of a response's body.
+pub(crate) fn partial_body(partial: &PartialResponse<'_>) -> PartialBody {
+    PartialBody {
+        arrived: partial.arrived,
+        buffered: partial.buffered,
+        length: partial.length,
+    }
+}
--- a/crates/daemon/src/worker_responses.rs
+++ b/crates/daemon/src/worker_responses.rs
@@ -23,7 +23,13 @@
         while let Some(worker) = self.worker_conn(conn_key) {
             let is_head = matches!(worker.phase, WorkerPhase::Sent { is_head: true, .. });
             match worker.phase {
-                WorkerPhase::Idle | WorkerPhase::Reserved(_) if !worker.reader.has_pending() => {
+                WorkerPhase::Checking(_) | WorkerPhase::Idle | WorkerPhase::Reserved(_)
+                    if !worker.reader.has_pending() =>
+                {
+                    return;
+                }
+                WorkerPhase::Checking(_) => {
+                    self.worker_failed(now, conn_key, AttemptEnding::InvalidResponse);
                     return;
                 }
                 // These bytes answer no request, so no response on this connection can be trusted.
@@ -35,8 +41,7 @@
                     self.replace_reserved(now, conn_key);
                     return;
                 }
-                WorkerPhase::Checking(_)
-                | WorkerPhase::ProbeAbandoned
+                WorkerPhase::ProbeAbandoned
                 | WorkerPhase::Probing(_)
                 | WorkerPhase::Relaying(_)
                 | WorkerPhase::Sent { .. } => {}
@@ -67,7 +72,7 @@
             }
             WorkerPhase::Sent { .. } => {
                 self.hear_refusal(now, conn_key);
-                self.consider_relay(now, conn_key);
+                self.judge_partial(now, conn_key);
             }
             WorkerPhase::ProbeAbandoned | WorkerPhase::Probing(_) => {
                 let partial = worker.reader.partial();
--- a/crates/daemon/tests/failures/floods.rs
+++ b/crates/daemon/tests/failures/floods.rs
@@ -3,11 +3,11 @@
 use {
     crate::{
         callers::{CHUNKED_HEAD, connect, get},
-        support::{run_load_served, start_fleet},
+        support::{default_plan, new_caller, run_load_served, start_fleet, wait_until},
     },
     peer::{FetchRequest, FrameCodec, PeerRequest},
     site::Revs,
-    standin::{Fleet, StoreFault, WorkerFault},
+    standin::{Fleet, FleetPlan, Outcome, StoreFault, WorkerFault},
     std::{
         io::{Read, Write},
         net::{Shutdown, TcpStream},
@@ -18,6 +18,8 @@
 
 /// What a daemon may need, in bytes.
 const MAX_MEMORY: u64 = 64 << 20;
+/// How many requests are sent at once to workers that answer without end.
+const MANY: usize = 40;
 
 /// Reads and drops all that arrives on a connection, in a thread of its own.
 fn discard(conn: &TcpStream) -> JoinHandle<()> {
@@ -84,6 +86,49 @@
     others_are_served_beside(WorkerFault::FloodsIdle);
 }
 
+/// Guards against bytes that are no answer and fill the daemon's memory: those of many requests count
+/// together. Workers send them until the daemon closes the connection.
+#[test]
+fn answers_without_end_to_many_requests_cost_bounded_memory() {
+    for fault in [
+        WorkerFault::FloodsBody,
+        WorkerFault::FloodsErrors,
+        WorkerFault::FloodsHead,
+        WorkerFault::FloodsOther,
+        WorkerFault::FloodsRefusal,
+        WorkerFault::FloodsUnsigned,
+    ] {
+        let fleet = Fleet::start(&FleetPlan {
+            daemon_centres: vec!["a"],
+            ..default_plan()
+        })
+        .expect("a fleet");
+        for worker in &fleet.workers {
+            worker.set_fault(fault);
+        }
+        let conns: Vec<TcpStream> = (0..MANY)
+            .map(|at| {
+                let mut conn = connect(&fleet);
+                let request = get("/pictures/1", &format!("flood-{at}"), false);
+                conn.write_all(request.as_bytes())
+                    .expect("the daemon reads");
+                conn
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(2_500));
+        let peak = fleet.peak_memory(0).expect("a running daemon");
+        assert!(peak <= MAX_MEMORY, "{fault:?}: {peak} bytes");
+        for worker in &fleet.workers {
+            worker.set_fault(WorkerFault::None);
+        }
+        drop(conns);
+        wait_until("the daemon serves again", || {
+            let mut caller = new_caller("after");
+            fleet.send(&mut caller, 0, "GET", "/pictures/1").outcome == Outcome::Served
+        });
+    }
+}
+
 /// Guards against responses of the store that fill the daemons' memory, too.
 #[test]
 fn callers_are_served_beside_responses_of_the_store_without_end() {
--- a/crates/standin/src/worker_fault.rs
+++ b/crates/standin/src/worker_fault.rs
@@ -2,11 +2,14 @@
 
 use {
     crate::server::{FLOOD_CHUNK_BYTES, Reply, endless_body},
-    platform::standin::not_run_response,
+    platform::standin::{not_run_response, response_id, unsign_response},
     std::time::Duration,
-    wire::Response,
+    wire::{BodyCoding, Response},
 };
 
+/// The line end that follows the last header line.
+const HEAD_END: &[u8] = b"\r\n";
+
 /// How many interim responses are sent in one write.
 const FLOOD_REPEATS: usize = 200;
 
@@ -24,12 +27,22 @@
     ExtraResponse,
     /// Sends a signed response whose body never ends.
     FloodsBody,
+    /// Sends a response with status 500 whose body never ends.
+    FloodsErrors,
+    /// Sends a head that never ends.
+    FloodsHead,
     /// Sends bytes without end after each complete response.
     FloodsIdle,
     /// Sends interim responses without end in place of a response.
     FloodsInterim,
+    /// Sends a response to another request whose body never ends.
+    FloodsOther,
     /// Sends a response without end to health probes.
     FloodsProbes,
+    /// Turns requests away with a response whose body never ends.
+    FloodsRefusal,
+    /// Sends a response without a signature whose body never ends.
+    FloodsUnsigned,
     /// Runs requests and never responds.
     Hangs,
     /// Works normally.
@@ -65,6 +78,26 @@
         match self {
             Self::CutsHead => cut_head(response),
             Self::FloodsBody => endless_body(response),
+            Self::FloodsErrors => endless_body(&Response {
+                status: 500,
+                ..response.clone()
+            }),
+            Self::FloodsHead => {
+                let mut head = Vec::new();
+                response.encode_head(&mut head, BodyCoding::Absent);
+                head.truncate(head.len() - HEAD_END.len());
+                Reply::Flood {
+                    head,
+                    part: b"A: b\r\n".repeat(FLOOD_REPEATS),
+                }
+            }
+            Self::FloodsOther => endless_body(&late_response()),
+            Self::FloodsRefusal => endless_body(&not_run_response(response_id(response))),
+            Self::FloodsUnsigned => {
+                let mut unsigned = response.clone();
+                unsign_response(&mut unsigned);
+                endless_body(&unsigned)
+            }
             Self::FloodsIdle => {
                 let mut head = Vec::new();
                 response.encode(&mut head, false);
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -72,6 +72,11 @@
         self.data.len()
     }
 
+    /// How many bytes were decoded so far, taken or not.
+    pub(crate) fn arrived(&self) -> usize {
+        self.taken + self.data.len()
+    }
+
     /// Takes what is decoded so far; the rest of the body follows.
     pub(crate) fn take(&mut self) -> Vec<u8> {
         self.taken += self.data.len();
--- a/crates/wire/src/response_reader.rs
+++ b/crates/wire/src/response_reader.rs
@@ -19,7 +19,9 @@
 /// A response of which the head and a part of the body have arrived.
 #[derive(Clone, Copy, Debug)]
 pub struct PartialResponse<'a> {
-    /// How many bytes of the body have arrived and are not taken yet.
+    /// How many bytes of the body have arrived.
+    pub arrived: usize,
+    /// How many of these are not taken yet.
     pub buffered: usize,
     /// The status and headers; the body is empty.
     pub head: &'a Response,
@@ -98,6 +100,7 @@
     pub fn partial(&self) -> Option<PartialResponse<'_>> {
         let (head, body) = self.partial.as_ref()?;
         Some(PartialResponse {
+            arrived: body.arrived(),
             buffered: body.len(),
             head,
             length: match body.framing() {
