Bound the messages to the internal port and the directory

Cause: the limit on a message, 8 MB between daemons and 1 MB at the directory, counted for one connection; 30 connections of a stranger that announced long messages took 192 MB of a daemon. Found by looking for the cause of the answers without end on related paths.

Change: requests between daemons, and replies to forwarded ones, are read up to 16 KB; only lists of changes may be long. Bodies at the directory, readiness and operators' addresses have 1 KB.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -14,6 +14,9 @@
     wire::{ConnectionEnd, Limits, Request, RequestReader, Response},
 };
 
+/// The longest body of a request, in bytes. None of the requests here needs one.
+const MAX_BODY_BYTES: usize = 1 << 10;
+
 /// A connection to the directory, the readiness address or the operators' address.
 #[derive(Debug)]
 pub(crate) struct AdminConn {
@@ -27,7 +30,10 @@
     pub(crate) fn new_admin(&self, listener: ListenerKind) -> ConnKind {
         ConnKind::Admin(AdminConn {
             listener,
-            reader: RequestReader::new(Limits::default()),
+            reader: RequestReader::new(Limits {
+                body_bytes: MAX_BODY_BYTES,
+                ..Limits::default()
+            }),
         })
     }
 
--- a/crates/daemon/src/fetches.rs
+++ b/crates/daemon/src/fetches.rs
@@ -39,7 +39,7 @@
     pub(crate) fn new_fetch_server() -> ConnKind {
         ConnKind::FetchServer(FetchServerConn {
             answered: false,
-            codec: FrameCodec::default(),
+            codec: FrameCodec::short(),
         })
     }
 
--- a/crates/daemon/src/forwards.rs
+++ b/crates/daemon/src/forwards.rs
@@ -89,7 +89,7 @@
         bytes.extend(encode_passed_on(&active.request, has_accounts, time_left));
         let kind = ConnKind::Forward(ForwardConn {
             call,
-            codec: FrameCodec::default(),
+            codec: FrameCodec::short(),
             id: active.id.clone(),
             is_head: active.is_head,
             link,
--- a/crates/daemon/tests/failures/floods.rs
+++ b/crates/daemon/tests/failures/floods.rs
@@ -165,6 +165,38 @@
     assert!(peak <= MAX_MEMORY, "{peak} bytes");
 }
 
+/// Guards against messages that pile up for all connections together, though each keeps to the limit:
+/// to the internal port with a frame that announces a long message, to the directory with a body.
+#[test]
+fn long_messages_on_many_connections_cost_bounded_memory() {
+    let fleet = start_fleet();
+    let mut internal = fleet.address(0);
+    internal.set_port(internal.port() + 4);
+    let frame = (8_u32 << 20).to_be_bytes().to_vec();
+    let post = b"POST /v1/resolve HTTP/1.1\r\nHost: x\r\nContent-Length: 1048576\r\n\r\n".to_vec();
+    let part = vec![b'.'; 1 << 20];
+    for (address, head, conns) in [(internal, frame, 30), (fleet.directory(0), post, 120)] {
+        let open: Vec<TcpStream> = (0..conns)
+            .map(|_| {
+                let mut conn = TcpStream::connect(address).expect("the daemon listens");
+                conn.set_write_timeout(Some(Duration::from_millis(500)))
+                    .expect("a timeout");
+                // The daemon may close the connection at any time.
+                let _ = conn.write_all(&head);
+                let _ = conn.write_all(&part[1..]);
+                for _ in 1..conns / 5 {
+                    let _ = conn.write_all(&part);
+                }
+                conn
+            })
+            .collect();
+        let peak = fleet.peak_memory(0).expect("a running daemon");
+        assert!(peak <= MAX_MEMORY, "{address}: {peak} bytes");
+        drop(open);
+    }
+    run_load_served(&fleet, &[0], 300);
+}
+
 /// Asserts that a daemon serves all other callers while one sends `head` and then `part` again and
 /// again.
 fn others_are_served_beside_caller(head: &str, part: &str) {
--- a/crates/peer/src/fetch.rs
+++ b/crates/peer/src/fetch.rs
@@ -9,6 +9,8 @@
 
 /// The size of a frame's length prefix, in bytes.
 const PREFIX_BYTES: usize = 4;
+/// The maximum size of a message that isn't a list of changes, in bytes.
+const MAX_SHORT_BYTES: usize = 16 << 10;
 
 /// Requests the site changes that the sender lacks; the response is a list of
 /// [`site::LegacyChange`].
@@ -35,13 +37,36 @@
 
 /// Encodes messages into frames and decodes frames from a stream. A frame is the length of the
 /// message as four bytes, big-endian, and then the message.
-#[derive(Debug, Default)]
-pub struct FrameCodec(Vec<u8>);
+#[derive(Debug)]
+pub struct FrameCodec {
+    /// What was received and isn't decoded yet.
+    buf: Vec<u8>,
+    /// The maximum size of a message, in bytes.
+    limit: usize,
+}
+
+impl Default for FrameCodec {
+    /// Decodes messages of any kind.
+    fn default() -> Self {
+        Self {
+            buf: Vec::new(),
+            limit: codec::MAX_MESSAGE_BYTES,
+        }
+    }
+}
 
 impl FrameCodec {
+    /// Decodes messages other than lists of changes, which are short.
+    pub fn short() -> Self {
+        Self {
+            limit: MAX_SHORT_BYTES,
+            ..Self::default()
+        }
+    }
+
     /// Buffers bytes that were received.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.0.extend_from_slice(bytes);
+        self.buf.extend_from_slice(bytes);
     }
 
     /// Removes the next message from the buffer; `None` until all of it has been received.
@@ -49,24 +74,24 @@
     /// # Errors
     /// Fails if the message exceeds the size limit or can't be decoded.
     pub fn decode<T: DeserializeOwned>(&mut self) -> Result<Option<T>, PeerError> {
-        let Some(prefix) = self.0.first_chunk::<PREFIX_BYTES>() else {
+        let Some(prefix) = self.buf.first_chunk::<PREFIX_BYTES>() else {
             return Ok(None);
         };
         let size = u32::from_be_bytes(*prefix) as usize;
-        if size > codec::MAX_MESSAGE_BYTES {
+        if size > self.limit {
             return Err(PeerError::TooLong);
         }
-        if self.0.len() < PREFIX_BYTES + size {
+        if self.buf.len() < PREFIX_BYTES + size {
             return Ok(None);
         }
-        let message = decode(&self.0[PREFIX_BYTES..PREFIX_BYTES + size])?;
-        self.0.drain(..PREFIX_BYTES + size);
+        let message = decode(&self.buf[PREFIX_BYTES..PREFIX_BYTES + size])?;
+        self.buf.drain(..PREFIX_BYTES + size);
         Ok(Some(message))
     }
 
     /// Takes what was received after the last message.
     pub fn take_rest(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.0)
+        std::mem::take(&mut self.buf)
     }
 
     /// Encodes a message into a frame.
