No timer keeps the event loop to itself

Cause: the timer of that connection was set again to a time that was over, inside the loop that takes due timers. Ruled out: a block (the processor was in use).

Change: no request is late while responses before it are due; due timers are taken before the first of them is handled.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -314,15 +314,16 @@
         self.resume_caller(conn_key);
     }
 
-    /// Sets the timer for the rest of a request, or for the next request.
+    /// Sets the timer for the rest of a request, or for the next request. While responses are due, no
+    /// request is late: each response sets the timer again.
     fn update_caller_timer(&mut self, now: Time, conn_key: usize) {
         let limits = self.caller_limits();
         let Some(caller) = self.caller_conn(conn_key) else {
             return;
         };
         let at = match caller.partial_since {
-            Some(since) => since + limits.head_timeout,
-            None => now + limits.idle_timeout,
+            Some(since) if caller.pipeline.is_empty() => since + limits.head_timeout,
+            _ => now + limits.idle_timeout,
         };
         let current = self.conns.get(conn_key).and_then(|conn| conn.timer);
         // Never moves the timer later: one that fires before the connection was idle for long
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -240,7 +240,7 @@
         if self.quota.next_tick().is_some_and(|at| at <= now) {
             self.quota_tick();
         }
-        while let Some((conn_key, serial)) = self.timers.pop_due(now) {
+        for (conn_key, serial) in self.timers.take_due(now) {
             self.conn_timeout(now, conn_key, serial);
         }
         if self.next_heartbeat <= now {
--- a/crates/daemon/src/timers.rs
+++ b/crates/daemon/src/timers.rs
@@ -22,13 +22,17 @@
         self.0.peek().map(|Reverse((at, _, _))| *at)
     }
 
-    /// Removes a timer that is due, and returns the key and the serial number of its connection.
-    pub(crate) fn pop_due(&mut self, now: Time) -> Option<(usize, u64)> {
-        if self.next_due()? > now {
-            return None;
+    /// Removes the timers that are due, and returns the keys and serial numbers of their connections.
+    /// A timer that is set while these are handled is due in the next turn at the earliest, so that
+    /// no handler keeps the others waiting.
+    pub(crate) fn take_due(&mut self, now: Time) -> Vec<(usize, u64)> {
+        let mut due = Vec::new();
+        while let Some(Reverse((at, conn_key, serial))) = self.0.peek().copied()
+            && at <= now
+        {
+            self.0.pop();
+            due.push((conn_key, serial));
         }
-        self.0
-            .pop()
-            .map(|Reverse((_, conn_key, serial))| (conn_key, serial))
+        due
     }
 }
--- a/crates/daemon/tests/failures/callers.rs
+++ b/crates/daemon/tests/failures/callers.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::support::{
-        default_plan, metric, run_load_served, start_fleet, state_dump, wait_for_config, wait_until,
+        default_plan, metric, run_load, run_load_served, start_fleet, state_dump, wait_for_config,
+        wait_until,
     },
     nix::sys::signal::Signal,
     socket2::{Domain, Socket, Type},
-    standin::{Fleet, StoreFault},
+    standin::{Fleet, Outcome, StoreFault},
     std::{
         io::{Read, Write},
         net::{Ipv4Addr, SocketAddrV4, TcpStream},
@@ -141,6 +142,55 @@
     run_load_served(&fleet, &[0, 1], 300);
 }
 
+/// Sends a request to a slow worker with the first part of a second one behind it, and lets the
+/// second one be late while the response to the first is due. Returns the connection.
+fn pipeline_late(fleet: &Fleet) -> TcpStream {
+    let mut config = standin::config(2);
+    config.limits.head_timeout = Span::millis(300);
+    fleet.store.put_config(&config);
+    wait_for_config(fleet, 2);
+    for worker in &fleet.workers {
+        worker.set_latency_percent(4_000);
+    }
+    let mut conn = connect(fleet);
+    let first = get("/pictures/1", "late-1", false);
+    conn.write_all((first + "GET /pictures/2 HT").as_bytes())
+        .expect("the daemon reads");
+    thread::sleep(Duration::from_millis(600));
+    for worker in &fleet.workers {
+        worker.set_latency_percent(100);
+    }
+    conn
+}
+
+/// Guards against a timer that is set to a time which is over, again and again, so that the daemon
+/// does nothing else.
+#[test]
+fn others_are_served_while_a_late_request_waits_behind_a_response() {
+    let fleet = start_fleet();
+    let mut conn = pipeline_late(&fleet);
+    let report = run_load(&fleet, &[0], 300);
+    assert_eq!(report.count(Outcome::Unanswered), 0, "{}", report.text());
+    // The late request ends the connection once the response is sent.
+    let mut text = String::new();
+    conn.read_to_string(&mut text).expect("an orderly close");
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    assert!(text.contains("HTTP/1.1 408"), "{text}");
+}
+
+/// A caller whose request is complete by the time it could be answered isn't late.
+#[test]
+fn a_request_that_is_completed_behind_a_response_is_served() {
+    let fleet = start_fleet();
+    let mut conn = pipeline_late(&fleet);
+    let rest = get("/pictures/2", "late-2", true).replacen("GET /pictures/2 HT", "", 1);
+    conn.write_all(rest.as_bytes()).expect("the daemon reads");
+    let mut text = String::new();
+    conn.read_to_string(&mut text).expect("an orderly close");
+    assert_eq!(answered_ids(&text), ["late-1", "late-2"], "{text}");
+    assert_eq!(text.matches("HTTP/1.1 200").count(), 2, "{text}");
+}
+
 #[test]
 fn an_incomplete_head_times_out_with_408() {
     let fleet = start_fleet();
