A rejected probe says nothing of a cold start

Cause: a rejected probe, which has no Cold-Ms, was read as that of a warm worker. Ruled out: shares that sum up to more than the bound (the sends had no permits).

Change: a response that doesn't tell of the cold start changes nothing of it, and a worker that hasn't told lately that it is warm gets no more than the share of a cold one.

--- a/crates/call/benches/selection.rs
+++ b/crates/call/benches/selection.rs
@@ -88,7 +88,7 @@
         return None;
     };
     let health = HealthReport {
-        cold_remaining: Span::ZERO,
+        cold_remaining: Some(Span::ZERO),
         healthy: true,
         id: None,
         load: Some(LoadReport {
--- a/crates/call/src/candidates.rs
+++ b/crates/call/src/candidates.rs
@@ -5,6 +5,7 @@
         CallId,
         call::{Call, Candidate, Probe},
         dispatcher::Dispatcher,
+        selection::WARM_MAX_AGE,
     },
     pick::{WorkerKey, WorkerTable},
     site::{HealthReport, LoadReport},
@@ -95,7 +96,10 @@
         {
             return None;
         }
-        let cold = health.cold_remaining > Span::ZERO;
+        let cold = match health.cold_remaining {
+            Some(remaining) => remaining > Span::ZERO,
+            None => self.may_be_cold(now, probe.worker),
+        };
         if cold && !self.take_cold_permit(now, &call, probe.worker) {
             return None;
         }
@@ -130,6 +134,12 @@
         lowest.is_some_and(|lowest| call.priority() < *lowest)
     }
 
+    /// Whether a worker that told nothing of its cold start may be in one.
+    fn may_be_cold(&self, now: Time, worker: WorkerKey) -> bool {
+        let record = self.table.get(worker);
+        record.is_none_or(|record| record.may_be_cold(now, WARM_MAX_AGE))
+    }
+
     /// Takes a permit from this daemon's share of the requests that a cold worker may get.
     pub(crate) fn take_cold_permit(&mut self, now: Time, call: &Call, worker: WorkerKey) -> bool {
         let Some(service) = self.config.services.get(&call.service) else {
--- a/crates/call/src/selection.rs
+++ b/crates/call/src/selection.rs
@@ -15,7 +15,7 @@
 /// How long after a probe a worker that was warm still counts as warm. The worker may become
 /// cold at any moment, and all that the daemons send before they notice counts towards the limit on
 /// requests to a cold worker.
-const WARM_MAX_AGE: Span = Span::millis(30);
+pub(crate) const WARM_MAX_AGE: Span = Span::millis(30);
 /// How many requests a worker may get without a probe after each probe, beyond the request that
 /// probed it.
 const MAX_UNPROBED: u32 = 2;
--- a/crates/call/tests/dispatcher/cold_start.rs
+++ b/crates/call/tests/dispatcher/cold_start.rs
@@ -10,7 +10,7 @@
 
 fn cold_health() -> HealthReport {
     HealthReport {
-        cold_remaining: Span::secs(1),
+        cold_remaining: Some(Span::secs(1)),
         ..idle_health()
     }
 }
@@ -101,3 +101,30 @@
         }
     }
 }
+
+/// Guards against a cold worker that counts as warm once it is so full that it rejects probes, and
+/// then gets all requests.
+#[test]
+fn a_worker_that_rejects_probes_gets_no_more_than_a_cold_one() {
+    let mut harness = Harness::new(&["x"]);
+    add_twelve_daemons(&mut harness);
+    let route = Arc::new(route("r", RouteKind::Idempotent));
+    harness.arrive(&route);
+    harness.advance_answering(Span::millis(19), &cold_health());
+    let rejected = HealthReport {
+        cold_remaining: None,
+        healthy: false,
+        load: None,
+        ..idle_health()
+    };
+    let mut sent = 0;
+    for _ in 0..50 {
+        harness.arrive(&route);
+        let actions = harness.advance_answering(Span::millis(19), &rejected);
+        sent += actions
+            .iter()
+            .filter(|action| matches!(action, CallAction::Send(..)))
+            .count();
+    }
+    assert!(sent <= 2, "{sent}");
+}
--- a/crates/call/tests/dispatcher/harness.rs
+++ b/crates/call/tests/dispatcher/harness.rs
@@ -85,7 +85,7 @@
 
 pub(crate) fn health(running: u32, waiting: u32, latency_percent: u32) -> HealthReport {
     HealthReport {
-        cold_remaining: Span::ZERO,
+        cold_remaining: Some(Span::ZERO),
         healthy: true,
         id: None,
         load: Some(LoadReport {
--- a/crates/call/tests/simulation/sim_worker.rs
+++ b/crates/call/tests/simulation/sim_worker.rs
@@ -75,7 +75,7 @@
     pub(crate) fn health(&mut self) -> HealthReport {
         self.probes += 1;
         HealthReport {
-            cold_remaining: Span::ZERO,
+            cold_remaining: Some(Span::ZERO),
             healthy: true,
             id: None,
             load: Some(self.load()),
--- a/crates/pick/src/worker_record.rs
+++ b/crates/pick/src/worker_record.rs
@@ -58,6 +58,8 @@
     probed_at: Option<Time>,
     /// Requests for which a permit without a probe was granted since then.
     unprobed: u32,
+    /// When a response of its health endpoint last told how long it stays cold.
+    cold_told_at: Option<Time>,
     /// When its cold start ends.
     pub(crate) cold_until: Time,
     /// This daemon's share of the requests that the worker may get while cold.
@@ -113,6 +115,7 @@
         Self {
             probed_at: None,
             unprobed: 0,
+            cold_told_at: None,
             cold_until: now + worker.cold_remaining,
             cold_budget: ColdStartBudget::default(),
             failure_penalty: 0.0,
@@ -210,21 +213,26 @@
         self.probed_at.is_some_and(|at| now.since(at) < span)
     }
 
-    /// Takes a permit to send it a request without a probe. Granted if it is warm, its last probe
-    /// is younger than `max_age`, and fewer than `max_requests` permits were granted since that
-    /// probe.
+    /// Takes a permit to send it a request without a probe. Granted if it is warm, it told that less
+    /// than `max_age` ago, and fewer than `max_requests` permits were granted since.
     pub(crate) fn take_unprobed_permit(
         &mut self,
         now: Time,
         max_age: Span,
         max_requests: u32,
     ) -> bool {
-        let probed = self.probed_at.is_some_and(|at| now.since(at) < max_age);
-        let granted = probed && !self.is_cold(now) && self.unprobed < max_requests;
+        let granted = !self.may_be_cold(now, max_age) && self.unprobed < max_requests;
         self.unprobed += u32::from(granted);
         granted
     }
 
+    /// Whether it is cold, or hasn't told within the last `max_age` that it is warm: it may become
+    /// cold at any moment.
+    pub fn may_be_cold(&self, now: Time, max_age: Span) -> bool {
+        let told = self.cold_told_at.is_some_and(|at| now.since(at) < max_age);
+        !told || self.is_cold(now)
+    }
+
     /// Whether it is still in its cold start, as far as this daemon knows.
     pub fn is_cold(&self, now: Time) -> bool {
         now < self.cold_until
@@ -349,10 +357,13 @@
     /// Records a response of its health endpoint, which also ends its backoff.
     pub(crate) fn record_health(&mut self, now: Time, health: &HealthReport) {
         self.probed_at = Some(now);
-        self.unprobed = 0;
         self.end_backoff();
         self.unhealthy = !health.healthy;
-        self.cold_until = now + health.cold_remaining;
+        if let Some(cold) = health.cold_remaining {
+            self.cold_until = now + cold;
+            self.cold_told_at = Some(now);
+            self.unprobed = 0;
+        }
         if let Some(load) = health.load {
             self.load = Some((load, now));
         }
--- a/crates/pick/tests/table.rs
+++ b/crates/pick/tests/table.rs
@@ -45,7 +45,7 @@
 
 fn health(load: Option<LoadReport>) -> HealthReport {
     HealthReport {
-        cold_remaining: Span::ZERO,
+        cold_remaining: Some(Span::ZERO),
         healthy: true,
         id: None,
         load,
--- a/crates/site/src/health_report.rs
+++ b/crates/site/src/health_report.rs
@@ -22,8 +22,9 @@
 /// A worker's response to a health probe.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HealthReport {
-    /// The remaining time of the worker's cold start; zero once it is warm.
-    pub cold_remaining: Span,
+    /// The remaining time of the worker's cold start, zero once it is warm; `None` if the response
+    /// doesn't say, as that of a worker which turned the probe away.
+    pub cold_remaining: Option<Span>,
     /// Whether the worker reports itself healthy.
     pub healthy: bool,
     /// The id of the worker that responded, if given.
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -376,7 +376,7 @@
             .cold_end
             .map(|end| end.saturating_duration_since(Instant::now()));
         HealthReport {
-            cold_remaining: cold_remaining.unwrap_or_default().into(),
+            cold_remaining: Some(cold_remaining.unwrap_or_default().into()),
             healthy: state.healthy,
             id: Some(self.id.clone()),
             load: Some(self.load(&state)),
