quota: a quorum counts by the views of its supporters, too

Cause: a daemon that has just started knows no former view of the registered daemons, so its quorum had none in common with that of the daemons that were cut off. Ruled out: tokens that are used late (the simulated fleet stops at two grantors of one shard).

Change: leases name the views of the daemon that gives them, and a grantor needs more than half of each.

--- a/crates/quota/src/tenure.rs
+++ b/crates/quota/src/tenure.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Grantor, Message, Quota, QuotaEvent, SHARDS,
+        electorate::ViewId,
         lease::{ELECTION_PERIOD, RENEW_PERIOD},
         shard::candidate_rank,
     },
@@ -32,9 +33,10 @@
         }
         self.end_tenures(now);
         if supported != 0 {
-            let message = Message::Support {
+            let message = Message::SupportIn {
                 number,
                 shards: supported,
+                views: self.electorate.views(),
             };
             self.send(now, from, message);
         }
@@ -59,6 +61,24 @@
         }
     }
 
+    /// Handles support of a daemon with these views. Without them all, its lease isn't used; the views
+    /// are asked for, and the next round counts.
+    pub(crate) fn handle_support_in(
+        &mut self,
+        now: Time,
+        from: Ipv4Addr,
+        (asked, shards): (Time, u8),
+        views: &[ViewId],
+    ) {
+        if self.electorate.note_views(now, views) {
+            self.handle_support(now, from, asked, shards);
+            return;
+        }
+        for view in self.electorate.take_unknown(now, views) {
+            self.send(now, from, Message::AskView(view));
+        }
+    }
+
     pub(crate) fn begin_tenure(&mut self, now: Time, shard: usize) {
         self.grantors[shard] = Some(Grantor::new(now));
         self.events.push(QuotaEvent::TenureBegan(shard));
--- a/crates/quota/tests/fleet/failures.rs
+++ b/crates/quota/tests/fleet/failures.rs
@@ -6,6 +6,8 @@
 /// How long after the failure of a grantor each shard has one again, at the latest: a lease, and
 /// some candidates that are dead too.
 const RECOVERY: Span = Span::secs(6);
+/// The same after the end of a cut: candidates that asked in vain during it have paused.
+const CANDIDACY: Span = Span::secs(10);
 
 /// A fleet that has settled, with a load of twice the quotas for the time of a test.
 fn loaded(size: usize, seed: u64) -> Fleet {
@@ -194,3 +196,35 @@
     fleet.run(Span::secs(4));
     fleet.assert_bounds();
 }
+
+/// Guards against two grantors where a part of the fleet is cut off while daemons join the rest: they
+/// are no majority of those before them, and the daemons that joined don't know of these.
+#[test]
+fn daemons_that_join_beside_a_cut_make_no_second_quorum() {
+    for size in 7..24 {
+        let mut fleet = loaded(size, size as u64);
+        let most: Vec<usize> = (0..size / 2 + 1).collect();
+        fleet.split(&most);
+        fleet.grow(size / 3);
+        // Two grantors of a shard at one time end the test.
+        fleet.run(Span::secs(15));
+        fleet.heal();
+        fleet.run(CANDIDACY);
+        assert_recovered(&mut fleet);
+    }
+}
+
+/// Members that join a whole fleet keep none of its shards from being served.
+#[test]
+fn a_fleet_that_grows_goes_on_serving() {
+    for size in [7, 13, 118] {
+        let mut fleet = loaded(size, 12);
+        fleet.grow(size / 3);
+        let start = fleet.now;
+        fleet.run(Span::secs(10));
+        assert_eq!(fleet.served_shards(), SHARDS);
+        let served = fleet.records[2].admitted_since(start) as f64;
+        assert!(served >= 900.0, "{size}: {served}");
+        fleet.assert_bounds();
+    }
+}
--- a/crates/quota/tests/fleet/harness.rs
+++ b/crates/quota/tests/fleet/harness.rs
@@ -102,6 +102,8 @@
     pub(crate) records: Vec<Record>,
     pub(crate) rng: Rng,
     serial: usize,
+    /// Which daemons don't know of which other ones that joined.
+    strangers: Set<(usize, usize)>,
     waiting: Map<RequestId, usize>,
     /// How often a daemon became grantor.
     pub(crate) tenures: usize,
@@ -152,6 +154,7 @@
             now: Time::at(Span::secs(1_000)),
             rng: Rng::with_seed(seed),
             serial: 0,
+            strangers: Set::default(),
             waiting: Map::default(),
             tenures: 0,
         };
@@ -262,9 +265,24 @@
 
     pub(crate) fn heal(&mut self) {
         self.groups.fill(0);
+        self.strangers.clear();
         self.schedule(self.now, Event::Detect);
     }
 
+    /// Adds daemons to the first group; those of another one don't learn of them before it heals.
+    pub(crate) fn grow(&mut self, count: usize) {
+        for _ in 0..count {
+            let index = self.nodes.len();
+            let cut_off = (0..index).filter(|other| self.groups[*other] != 0);
+            self.strangers.extend(cut_off.map(|other| (other, index)));
+            let node = self.new_node(index);
+            self.nodes.push(node);
+            self.groups.push(0);
+            self.schedule(self.now, Event::Tick(index));
+        }
+        self.detect();
+    }
+
     /// Stops a daemon gracefully; it goes on answering.
     pub(crate) fn retire(&mut self, index: usize) {
         let now = self.local(index);
@@ -338,7 +356,9 @@
             }
             let reached =
                 |other: usize| self.nodes[other].alive && self.groups[other] == self.groups[index];
-            let voters = (0..self.nodes.len()).map(|other| Voter {
+            let known = |other: &usize| !self.strangers.contains(&(index, *other));
+            let members = (0..self.nodes.len()).filter(known);
+            let voters = members.map(|other| Voter {
                 eligible: reached(other),
                 ip: ip(other),
                 reads: true,
