A body that arrives steadily isn't late

What callers saw: 408 for uploads whose body takes longer than header-timeout-s, although the head was in time, and again at each retry.

Cause: the timeout for heads ran from the first byte of a request to its last.

Change: the time counts for the head, and then for each pause of the body.

Evidence: uploads::a_body_that_arrives_steadily_has_more_time_than_a_head fails before (408) and passes; a_body_that_stops_arriving_times_out_with_408 holds before and after.

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -102,7 +102,9 @@
                 }
                 Ok(None) => {
                     let partial = caller.reader.has_pending();
-                    caller.partial_since = partial.then(|| caller.partial_since.unwrap_or(now));
+                    // A body has the timeout of a head for each of its parts.
+                    let since = caller.partial_since.filter(|_| !caller.reader.has_head());
+                    caller.partial_since = partial.then(|| since.unwrap_or(now));
                     let expects = caller.forwarded.is_none() && caller.pipeline.is_empty();
                     if expects && caller.reader.take_continue_due() {
                         // A failure is ignored here; the next read of the connection reports it.
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -88,7 +88,8 @@
     pub(crate) awaits_memory: bool,
     /// When the first bytes arrived that are held because this daemon has just started.
     pub(crate) held_since: Option<Time>,
-    /// When the first bytes of an incomplete request arrived; `None` if there are none.
+    /// When the first bytes of an incomplete head arrived, or the last ones of an incomplete body;
+    /// `None` if there are none.
     pub(crate) partial_since: Option<Time>,
     /// Whether reading was put off until the caller has taken more of its responses.
     pub(crate) paused: bool,
--- a/crates/daemon/tests/failures/uploads.rs
+++ b/crates/daemon/tests/failures/uploads.rs
@@ -111,3 +111,36 @@
     println!("peak memory: {} KB", peak >> 10);
     assert!(peak < MAX_MEMORY, "{} KB of memory", peak >> 10);
 }
+
+/// Sends the head of an upload with a timeout of 300 ms for heads, and then parts of its body, each
+/// after a pause. Returns the response.
+fn upload_slowly(parts: usize) -> String {
+    let fleet = start_fleet();
+    let mut config = standin::config(3);
+    config.limits.head_timeout = Span::millis(300);
+    fleet.store.put_config(&config);
+    wait_for_config(&fleet, 3);
+    let mut conn = connect(&fleet);
+    let head = post_head("/payouts/1", "slow", "Content-Length: 10");
+    conn.write_all(head.as_bytes()).expect("the daemon reads");
+    for _ in 0..parts {
+        thread::sleep(Duration::from_millis(120));
+        conn.write_all(b".").expect("the daemon reads");
+    }
+    let mut text = String::new();
+    conn.read_to_string(&mut text).expect("a response");
+    text
+}
+
+/// Guards against a body on a slow link that is taken for a head that is late.
+#[test]
+fn a_body_that_arrives_steadily_has_more_time_than_a_head() {
+    let text = upload_slowly(10);
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+}
+
+#[test]
+fn a_body_that_stops_arriving_times_out_with_408() {
+    let text = upload_slowly(9);
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+}
--- a/crates/wire/src/request_reader.rs
+++ b/crates/wire/src/request_reader.rs
@@ -52,6 +52,11 @@
         self.buf.len() + body
     }
 
+    /// Whether the head of the request that is still incomplete has arrived.
+    pub fn has_head(&self) -> bool {
+        self.partial.is_some()
+    }
+
     /// The length of the body of the request that is still incomplete; `None` if there is no such
     /// request, or if the length isn't known yet.
     pub fn body_length(&self) -> Option<usize> {
