A stalled caller holds up a stop for two seconds, not four

Cause: the timer of a closing connection compared the bytes sent since it was set, so a byte sent right after that gave the caller that takes nothing more a second term of 2 s.

Change: the term runs from when the system last accepted bytes.

--- a/crates/daemon/src/channel.rs
+++ b/crates/daemon/src/channel.rs
@@ -47,6 +47,8 @@
     pub(crate) sock: TcpStream,
     /// When bytes were last received or sent.
     pub(crate) last_active: Time,
+    /// When the system last accepted bytes for sending.
+    pub(crate) last_sent: Time,
 }
 
 impl Channel {
@@ -60,6 +62,7 @@
             sent: 0,
             sock,
             last_active: now,
+            last_sent: now,
         }
     }
 
@@ -125,6 +128,7 @@
                     done += size;
                     self.sent += size as u64;
                     self.last_active = now;
+                    self.last_sent = now;
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break Ok(()),
--- a/crates/daemon/src/lingering.rs
+++ b/crates/daemon/src/lingering.rs
@@ -14,8 +14,8 @@
 pub(crate) struct Lingering {
     /// Whether it is a caller's, or another daemon's that forwarded a request.
     pub(crate) of_caller: bool,
-    /// How many bytes had been sent on it when its timer was set.
-    sent: u64,
+    /// When the close began.
+    began: Time,
 }
 
 impl Daemon {
@@ -27,7 +27,7 @@
         };
         conn.kind = ConnKind::Lingering(Lingering {
             of_caller: conn.is_of_caller(),
-            sent: conn.channel.sent,
+            began: now,
         });
         if conn.channel.has_unsent() {
             self.set_timer(conn_key, now + MAX_STALL);
@@ -46,19 +46,19 @@
         }
     }
 
-    /// Handles the timer of a lingering connection. Removes it, unless the other end has taken bytes
-    /// since the timer was set and has yet to take more.
+    /// Handles the timer of a lingering connection. Removes it, unless the other end has yet to take
+    /// bytes and took some less than [`MAX_STALL`] ago.
     pub(crate) fn linger_timeout(&mut self, now: Time, conn_key: usize) {
-        let Some(conn) = self.conns.get_mut(conn_key) else {
+        let Some(conn) = self.conns.get(conn_key) else {
             return;
         };
-        let ConnKind::Lingering(lingering) = &mut conn.kind else {
+        let ConnKind::Lingering(lingering) = &conn.kind else {
             return;
         };
-        let before = std::mem::replace(&mut lingering.sent, conn.channel.sent);
         let unsent = conn.channel.unsent_len();
-        if unsent > 0 && conn.channel.sent > before {
-            self.set_timer(conn_key, now + MAX_STALL);
+        let ends_at = conn.channel.last_sent.max(lingering.began) + MAX_STALL;
+        if unsent > 0 && now < ends_at {
+            self.set_timer(conn_key, ends_at);
             return;
         }
         self.remove_conn(conn_key);
