--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,12 +10,14 @@
         log::Log,
         log_event::{self, LogEvent},
         metrics::Metrics,
+        peers::Beat,
         pool::Pool,
         relays::RelayedResponse,
         requests::ActiveRequest,
         rollouts::RolloutBook,
         shutdown::Shutdown,
         signals::Signals,
+        store_conn::StoreConns,
         timers::Timers,
         workers::LinkState,
     },
@@ -26,7 +28,7 @@
         errno::Errno,
         sys::socket::{setsockopt, sockopt::IpBindAddressNoPort},
     },
-    peer::{HEARTBEAT_PERIOD, Roster, Section, Stage},
+    peer::{HEARTBEAT_PERIOD, Roster, Stage},
     pick::{TransferPrice, WorkerKey, WorkerTable},
     quota::Quota,
     serde_json::{Value, json},
@@ -41,7 +43,7 @@
         time::Duration,
     },
     store::StoreClient,
-    unit::{Clock, Map, Name, Set, Time},
+    unit::{Clock, Map, Set, Time},
     wire::ConnectionEnd,
 };
 
@@ -52,8 +54,6 @@
 pub(crate) struct Daemon {
     /// The requests of each client account that this daemon admitted.
     pub(crate) account_usage: AccountUsage,
-    /// The other daemons that were alive at the last check, to log which ones came and went.
-    pub(crate) alive_peers: Set<Name>,
     /// Which callers' requests are read while bodies take much memory.
     pub(crate) body_memory: BodyMemory,
     /// Requests that have no response yet.
@@ -75,8 +75,6 @@
     pub(crate) call_events: VecDeque<call::CallEvent>,
     /// Whether a fetch of changes from another daemon is in progress; there is at most one.
     pub(crate) fetching: bool,
-    /// Whether it has heard no other daemon for so long that the others may treat it as gone.
-    pub(crate) isolated: bool,
     /// Uses of worker connections that are in progress, and responses that the dispatcher has not
     /// decided on yet.
     pub(crate) links: Map<LinkId, LinkState>,
@@ -86,12 +84,7 @@
     pub(crate) listeners: Listeners,
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
-    /// When the next heartbeats to other daemons are due.
-    pub(crate) next_heartbeat: Time,
-    /// The sections of the regular heartbeats that are being sent.
-    pub(crate) sections: Vec<Section>,
-    /// The ticks of regular heartbeats since the start.
-    pub(crate) ticks: u64,
+    pub(crate) beat: Beat,
     /// The number of the next request.
     pub(crate) next_call: u64,
     /// The serial number that was given last.
@@ -118,10 +111,7 @@
     pub(crate) stage: Stage,
     /// The client of the platform's store.
     pub(crate) store: StoreClient,
-    /// The connection that each call to the store in progress uses.
-    pub(crate) store_calls: Map<store::StoreCallId, usize>,
-    /// Idle connections to the store.
-    pub(crate) store_idle: Vec<usize>,
+    pub(crate) store_conns: StoreConns,
     pub(crate) timers: Timers,
     /// Workers, configuration and evacuations as last received from the store or other daemons.
     pub(crate) view: View,
@@ -174,7 +164,6 @@
         };
         let mut daemon = Self {
             account_usage: AccountUsage::default(),
-            alive_peers: Set::default(),
             body_memory: BodyMemory::default(),
             calls: Map::default(),
             hold: StartupHold::new(now),
@@ -187,16 +176,13 @@
             dispatcher: Dispatcher::new(policy, table, fastrand::Rng::new()),
             call_events: VecDeque::new(),
             fetching: false,
-            isolated: false,
             links: Map::default(),
             listeners,
             log: Log::start(settings.name.clone()),
             metrics: Metrics::new(),
-            next_heartbeat: now,
+            beat: Beat::new(now),
             quota: Quota::new(settings.ip, now, fastrand::Rng::new()),
             quota_waits: Map::default(),
-            sections: Vec::new(),
-            ticks: 0,
             next_call: 0,
             next_serial: 0,
             poll,
@@ -215,8 +201,7 @@
             rollouts: settings.bounds.rollouts.map(RolloutBook::new),
             stage: Stage::Starting,
             store: StoreClient::new(own, now, fastrand::Rng::new()),
-            store_calls: Map::default(),
-            store_idle: Vec::new(),
+            store_conns: StoreConns::default(),
             timers: Timers::default(),
             view: View::default(),
             settings,
@@ -362,7 +347,7 @@
             return Duration::ZERO;
         }
         let next = [
-            Some(self.next_heartbeat),
+            Some(self.beat.next),
             self.dispatcher.next_tick(),
             self.quota.next_tick(),
             self.store.next_tick(),
--- a/crates/daemon/src/io_events.rs
+++ b/crates/daemon/src/io_events.rs
@@ -243,8 +243,8 @@
         for (conn_key, serial) in self.timers.take_due(now) {
             self.conn_timeout(now, conn_key, serial);
         }
-        if self.next_heartbeat <= now {
-            self.next_heartbeat = now + HEARTBEAT_PERIOD;
+        if self.beat.next <= now {
+            self.beat.next = now + HEARTBEAT_PERIOD;
             self.heartbeat_tick(now);
         }
         if self.hold.next_check().is_some_and(|at| at <= now) {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -5,7 +5,7 @@
     forward::HelperMember,
     peer::{
         CoarseAge, Datagram, Format, Heartbeat, LIMITS_ONE_IN, LimitEntry, MAX_CRASHES, MAX_LIMITS,
-        MAX_UNREACHED, News, OwnState, RosterAction, Stage, Watch,
+        MAX_UNREACHED, News, OwnState, RosterAction, Section, Stage, Watch,
     },
     pick::LimitNews,
     poison::CrashNews,
@@ -21,6 +21,34 @@
 /// The size of the buffer for received datagrams, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
+/// The state of the regular heartbeats.
+#[derive(Debug)]
+pub(crate) struct Beat {
+    /// The other daemons that were alive at the last check, to log which ones came and went.
+    alive: Set<Name>,
+    /// Whether no other daemon was heard for so long that the others may treat this one as gone.
+    isolated: bool,
+    /// When the next heartbeats are due.
+    pub(crate) next: Time,
+    /// The sections of the heartbeats that are being sent.
+    pub(crate) sections: Vec<Section>,
+    /// How often heartbeats were sent since the start.
+    pub(crate) ticks: u64,
+}
+
+impl Beat {
+    /// The state at the start.
+    pub(crate) fn new(now: Time) -> Self {
+        Self {
+            alive: Set::default(),
+            isolated: false,
+            next: now,
+            sections: Vec::new(),
+            ticks: 0,
+        }
+    }
+}
+
 impl Daemon {
     /// This daemon's state as its heartbeats report it.
     pub(crate) fn own_state(&self) -> OwnState {
@@ -49,12 +77,12 @@
         self.update_quota_members(now);
         let own = self.own_state();
         let mut actions = self.roster.tick(now, &own);
-        self.ticks += 1;
+        self.beat.ticks += 1;
         self.rollouts_tick(now);
         self.add_news(now, &mut actions);
         self.run_roster_actions(now, actions);
         // Only regular heartbeats have these sections; replies and announcements have none.
-        self.sections.clear();
+        self.beat.sections.clear();
         self.update_store_role(now);
         self.check_ready(now);
         self.log_peer_changes(now);
@@ -67,9 +95,9 @@
     /// Uses no shares of the fleet's limits while the other daemons may treat this daemon as gone and
     /// divide its shares among themselves. Registers again once it hears one of them.
     fn check_isolation(&mut self, now: Time) {
-        let was_isolated = self.isolated;
-        self.isolated = self.roster.is_isolated(now);
-        if self.isolated {
+        let was_isolated = self.beat.isolated;
+        self.beat.isolated = self.roster.is_isolated(now);
+        if self.beat.isolated {
             self.dispatcher.table.allow_shares_from(None);
         } else if was_isolated {
             let actions = self.store.confirm_registration(now);
@@ -81,7 +109,7 @@
     fn add_news(&mut self, now: Time, actions: &mut [RosterAction]) {
         let mut limits = self.limit_entries(now);
         if let Some(section) = self.rejecting_section(now, &mut limits) {
-            self.sections.push(section);
+            self.beat.sections.push(section);
         }
         let bars = self.bar_news(now);
         for action in actions {
@@ -101,7 +129,7 @@
     /// What workers told this daemon of their limits, for the heartbeats of one tick in
     /// [`LIMITS_ONE_IN`].
     fn limit_entries(&mut self, now: Time) -> Vec<LimitEntry> {
-        if !self.ticks.is_multiple_of(LIMITS_ONE_IN) {
+        if !self.beat.ticks.is_multiple_of(LIMITS_ONE_IN) {
             return Vec::new();
         }
         let news = self.dispatcher.limit_news(now, MAX_LIMITS);
@@ -115,10 +143,10 @@
 
     /// Once a second, what bars a request that crashes workers, for daemons that have just started.
     fn bar_news(&self, now: Time) -> Vec<CrashNews> {
-        if !self.ticks.is_multiple_of(LIMITS_ONE_IN) {
+        if !self.beat.ticks.is_multiple_of(LIMITS_ONE_IN) {
             return Vec::new();
         }
-        let turn = self.ticks / LIMITS_ONE_IN;
+        let turn = self.beat.ticks / LIMITS_ONE_IN;
         self.dispatcher.crash_log().barred_news(now, turn as usize)
     }
 
@@ -290,17 +318,17 @@
             self.roster.is_alive(member, now).then(|| name.clone())
         };
         let alive: Set<Name> = self.roster.members().iter().filter_map(alive).collect();
-        if alive == self.alive_peers {
+        if alive == self.beat.alive {
             return;
         }
-        let lost: Vec<Name> = self.alive_peers.difference(&alive).cloned().collect();
-        let regained: Vec<Name> = alive.difference(&self.alive_peers).cloned().collect();
+        let lost: Vec<Name> = self.beat.alive.difference(&alive).cloned().collect();
+        let regained: Vec<Name> = alive.difference(&self.beat.alive).cloned().collect();
         for name in lost {
             self.log_event(now, log_event::PEER_LOST, json!({"peer": name}));
         }
         for name in regained {
             self.log_event(now, log_event::PEER_REGAINED, json!({"peer": name}));
         }
-        self.alive_peers = alive;
+        self.beat.alive = alive;
     }
 }
--- a/crates/daemon/src/rollout_news.rs
+++ b/crates/daemon/src/rollout_news.rs
@@ -21,7 +21,7 @@
     pub(crate) fn rollout_section(&mut self, now: Time) -> Option<Section> {
         let book = self.rollouts.as_ref()?;
         let recent = book.changed.is_some_and(|at| now.since(at) < CHANGE_TIME);
-        let lists = recent || self.ticks.is_multiple_of(LISTING_ONE_IN);
+        let lists = recent || self.beat.ticks.is_multiple_of(LISTING_ONE_IN);
         self.encode_rollouts(now, lists)
     }
 
--- a/crates/daemon/src/sections.rs
+++ b/crates/daemon/src/sections.rs
@@ -18,7 +18,7 @@
     /// All extended heartbeats tell of rollouts, also those that are offered: a daemon that has just
     /// started isn't ready before it knows the rollouts.
     pub(crate) fn heartbeat_sections(&mut self, now: Time) -> Vec<Section> {
-        let mut sections = self.sections.clone();
+        let mut sections = self.beat.sections.clone();
         sections.extend(self.rollout_section(now));
         sections
     }
@@ -54,7 +54,7 @@
         now: Time,
         limits: &mut Vec<LimitEntry>,
     ) -> Option<Section> {
-        if !self.ticks.is_multiple_of(LIMITS_ONE_IN) {
+        if !self.beat.ticks.is_multiple_of(LIMITS_ONE_IN) {
             return None;
         }
         let max = if limits.is_empty() {
--- a/crates/daemon/src/store_conn.rs
+++ b/crates/daemon/src/store_conn.rs
@@ -6,7 +6,7 @@
     serde_json::json,
     site::Rev,
     store::{RenewalReason, Role, StoreAction, StoreCallError, StoreCallId, StoreEvent},
-    unit::{Name, Set, Span, Time},
+    unit::{Map, Name, Set, Span, Time},
     wire::{ConnectionEnd, Limits, Response, ResponseReader},
 };
 
@@ -18,6 +18,15 @@
 /// of it, they don't count it among those that share the limit of cold workers.
 const JOIN_DELAY: Span = Span::secs(3);
 
+/// Which connections to the store carry calls, and which are free.
+#[derive(Debug, Default)]
+pub(crate) struct StoreConns {
+    /// The connection that each call in progress uses.
+    calls: Map<StoreCallId, usize>,
+    /// Idle connections.
+    idle: Vec<usize>,
+}
+
 /// A connection to the store. It carries one call at a time.
 #[derive(Debug)]
 pub(crate) struct StoreConn {
@@ -64,7 +73,7 @@
                     self.start_store_call(now, id, call, timeout)
                 }
                 StoreAction::Cancel(id) => {
-                    if let Some(conn_key) = self.store_calls.remove(&id) {
+                    if let Some(conn_key) = self.store_conns.calls.remove(&id) {
                         self.remove_store_conn(conn_key);
                     }
                 }
@@ -109,7 +118,7 @@
         let call = conn.call.take();
         self.remove_store_conn(conn_key);
         if let Some((id, _)) = call {
-            for idle in std::mem::take(&mut self.store_idle) {
+            for idle in std::mem::take(&mut self.store_conns.idle) {
                 self.remove_conn(idle);
             }
             self.complete_store_call(now, id, Err(StoreCallError::Timeout));
@@ -125,7 +134,7 @@
 
     /// Sends a call to the store on an idle connection or a new one.
     fn start_store_call(&mut self, now: Time, id: StoreCallId, call: StoreCall, timeout: Span) {
-        let conn_key = match self.store_idle.pop() {
+        let conn_key = match self.store_conns.idle.pop() {
             Some(conn_key) => Some(conn_key),
             None => self.open_store_conn(now),
         };
@@ -136,7 +145,7 @@
         let mut bytes = Vec::new();
         encode_call(&call, &self.settings.store.to_string()).encode(&mut bytes);
         self.metrics.store_calls.inc();
-        self.store_calls.insert(id, conn_key);
+        self.store_conns.calls.insert(id, conn_key);
         if let Some(conn) = self.store_conn(conn_key) {
             conn.call = Some((id, call));
         }
@@ -180,11 +189,11 @@
             return;
         };
         // The connection is free for other calls now, so cancelling this one must not close it.
-        self.store_calls.remove(&id);
+        self.store_conns.calls.remove(&id);
         if response.closes_connection || ended {
             self.remove_store_conn(conn_key);
         } else {
-            self.store_idle.push(conn_key);
+            self.store_conns.idle.push(conn_key);
             self.set_timer(conn_key, now + STORE_IDLE_TIMEOUT);
         }
         match platform::store_era(response) {
@@ -218,7 +227,7 @@
 
     /// Closes a connection to the store.
     fn remove_store_conn(&mut self, conn_key: usize) {
-        self.store_idle.retain(|other| *other != conn_key);
+        self.store_conns.idle.retain(|other| *other != conn_key);
         self.remove_conn(conn_key);
     }
 
@@ -229,7 +238,7 @@
         id: StoreCallId,
         result: Result<platform::StoreReply, StoreCallError>,
     ) {
-        self.store_calls.remove(&id);
+        self.store_conns.calls.remove(&id);
         let actions = self.store.complete_call(now, id, result);
         self.run_store_actions(now, actions);
     }
