--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -52,6 +52,8 @@
 const STRICT_INTERVAL: u64 = 3;
 /// In soaks with cuts, restores, downloads, notices or silences, one fault in this many is of that kind.
 const EXTRA_INTERVAL: u32 = 5;
+/// The same in soaks in which answers, entries and connections are spoiled.
+const SPOIL_INTERVAL: u32 = 2;
 /// The minimum duration of an evacuation, and of a limit that a worker names.
 const MIN_LONG_FAULT: Duration = Duration::from_secs(7);
 /// How often the runner checks whether a fault is due to begin or end.
@@ -372,7 +374,7 @@
         if self.silences && self.rng.u32(..EXTRA_INTERVAL) == 0 {
             return Fault::Store(StoreFault::Silent);
         }
-        if self.spoils && self.rng.u32(..EXTRA_INTERVAL) == 0 {
+        if self.spoils && self.rng.u32(..SPOIL_INTERVAL) == 0 {
             let fault = Fault::draw_spoil(&mut self.rng);
             if !(self.strict && fault.delays_propagation()) {
                 return fault;
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -268,6 +268,9 @@
         if self.refuses_this(&id, conn) {
             return Reply::Response(not_run_response(Some(&id)));
         }
+        if self.lock().fault == WorkerFault::FloodsRefusal {
+            return endless_body(&not_run_response(Some(&id)));
+        }
         let retry_after = self.lock().turning_away;
         if retry_after.is_some() || !self.take_slot(end) {
             let notice = Notice {
--- a/crates/standin/src/worker_fault.rs
+++ b/crates/standin/src/worker_fault.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::server::{FLOOD_CHUNK_BYTES, Reply, endless_body},
-    platform::standin::{not_run_response, response_id, unsign_response},
+    platform::standin::{not_run_response, unsign_response},
     std::time::Duration,
     wire::{BodyCoding, Response},
 };
@@ -41,7 +41,7 @@
     FloodsOther,
     /// Sends a response without end to health probes.
     FloodsProbes,
-    /// Turns requests away with a response whose body never ends.
+    /// Turns requests away, without running them, with a response whose body never ends.
     FloodsRefusal,
     /// Sends a response without a signature whose body never ends.
     FloodsUnsigned,
@@ -97,7 +97,6 @@
                 }
             }
             Self::FloodsOther => endless_body(&late_response()),
-            Self::FloodsRefusal => endless_body(&not_run_response(response_id(response))),
             Self::FloodsUnsigned => {
                 let mut unsigned = response.clone();
                 unsign_response(&mut unsigned);
@@ -115,6 +114,7 @@
             },
             Self::Errors
             | Self::FloodsProbes
+            | Self::FloodsRefusal
             | Self::None
             | Self::RefusesProbes(_)
             | Self::Slow(_) => Reply::Response(response.clone()),
