soak: silences all waiting connections to the store at one moment, beside an old copy

A daemon's proxy alone went silent, and the bounds stayed suspended for as long as the fault lasted. Now all connections on which a response is awaited go silent at once, checks are answered by a copy that is 3 s old, and the bounds hold again after the settling time.

That the silence alone would be found isn't shown.

--- a/crates/daemon/tests/failures/store.rs
+++ b/crates/daemon/tests/failures/store.rs
@@ -8,7 +8,7 @@
     },
     serde_json::json,
     site::{Worker, WorkerState},
-    standin::{Fleet, FleetPlan, PAGE_SIZE, ProxyFault, StoreFault},
+    standin::{Fleet, FleetPlan, PAGE_SIZE, StoreFault},
     std::{
         thread,
         time::{Duration, Instant},
@@ -79,8 +79,7 @@
         // The watches began at different times before the silence.
         thread::sleep(Duration::from_millis(900 * round));
         for proxy in &fleet.store_proxies {
-            proxy.set_fault(ProxyFault::BlackholeWaiting);
-            proxy.set_fault(ProxyFault::None);
+            proxy.silence_waiting();
         }
         thread::sleep(STABLE_WINDOW);
         let version = 2 + round;
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -38,8 +38,6 @@
     /// Discards everything on connections open at the time, for as long as they last, even after
     /// the fault ends; newer connections work.
     BlackholeOpen,
-    /// The same, but only for connections on which no byte has passed for [`WAITING`].
-    BlackholeWaiting,
 }
 
 /// How a proxy cuts one client off from its server.
@@ -134,17 +132,20 @@
                     conn.traffic.blackhole();
                 }
             }
-            ProxyFault::BlackholeWaiting => {
-                for conn in self.shared.conns().iter() {
-                    if conn.traffic.passed().elapsed() >= WAITING {
-                        conn.traffic.blackhole();
-                    }
-                }
-            }
             _ => {}
         }
     }
 
+    /// Discards everything on connections on which no byte has passed for [`WAITING`], for as long as
+    /// they last.
+    pub fn silence_waiting(&self) {
+        for conn in self.shared.conns().iter() {
+            if conn.traffic.passed().elapsed() >= WAITING {
+                conn.traffic.blackhole();
+            }
+        }
+    }
+
     /// Cuts the client with this address off from the server; `None` ends that for new connections.
     pub fn cut(&self, client: Ipv4Addr, cut: Option<Cut>) {
         let client = IpAddr::V4(client);
--- a/crates/standin/src/soak/fault.rs
+++ b/crates/standin/src/soak/fault.rs
@@ -46,6 +46,8 @@
     Replace(usize, Build),
     /// Copies the store, and has it come back from the copy when the fault ends.
     Restore,
+    /// Silences, for good, all connections to the store on which a response is awaited.
+    SilenceWaiting,
     /// Sets a fault of the store.
     Store(StoreFault),
     /// Sets a fault of the proxy between a daemon and the store.
@@ -133,7 +135,7 @@
         ];
         match rng.u32(..4) {
             0 => Self::OddEntries(ODD_ENDS[rng.usize(..ODD_ENDS.len())]),
-            1 => Self::StoreProxy(index, ProxyFault::BlackholeWaiting),
+            1 => Self::SilenceWaiting,
             _ => Self::Worker(index, worker[rng.usize(..worker.len())]),
         }
     }
@@ -149,6 +151,7 @@
                 | Self::Pause(_)
                 | Self::Replace(..)
                 | Self::Restore
+                | Self::SilenceWaiting
                 | Self::Store(_)
                 | Self::StoreProxy(..)
                 | Self::Term(_)
--- a/crates/standin/src/soak/injection.rs
+++ b/crates/standin/src/soak/injection.rs
@@ -70,6 +70,11 @@
             Fault::Replace(index, _) => self.fleet.signal(index, Signal::SIGTERM)?,
             Fault::Restore if self.is_restoring() => return Ok(()),
             Fault::Restore => self.fleet.store.back_up(),
+            Fault::SilenceWaiting => {
+                for proxy in &self.fleet.store_proxies {
+                    proxy.silence_waiting();
+                }
+            }
             Fault::Store(fault) => self.fleet.store.set_fault(fault),
             Fault::StoreProxy(index, fault) => {
                 self.fleet.store_proxies[index % size].set_fault(fault)
@@ -168,12 +173,18 @@
             | Fault::Config
             | Fault::DropResponses
             | Fault::Reload(_)
+            | Fault::SilenceWaiting
             | Fault::WorkerCold(_)
             | Fault::WorkerDies(_)
             | Fault::WorkerSaysLeaving(_) => {}
         }
         if active.fault.delays_propagation() {
-            self.history.suspensions.push(interval(active, ()));
+            let mut suspension = interval(active, ());
+            if active.fault == Fault::SilenceWaiting {
+                // New connections work from the first moment on.
+                suspension.to = suspension.from;
+            }
+            self.history.suspensions.push(suspension);
         }
         Ok(())
     }
--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -54,6 +54,8 @@
 const EXTRA_INTERVAL: u32 = 5;
 /// The same in soaks in which answers, entries and connections are spoiled.
 const SPOIL_INTERVAL: u32 = 2;
+/// How old the copy of the store is, in soaks with spoils, that answers calls which allow that.
+const COPY_AGE: Duration = Duration::from_secs(3);
 /// The minimum duration of an evacuation, and of a limit that a worker names.
 const MIN_LONG_FAULT: Duration = Duration::from_secs(7);
 /// How often the runner checks whether a fault is due to begin or end.
@@ -165,6 +167,9 @@
         plan.work_time = WORK_TIME;
         plan.rollouts = self.rollouts.then_some(rollouts::BOUNDS);
         let fleet = Fleet::start(&plan)?;
+        if self.spoils {
+            fleet.store.set_copy_age(COPY_AGE);
+        }
         let workers = fleet.workers.iter().zip(CENTRES.iter().cycle());
         let mut runner = Runner {
             active: Vec::new(),
