quota: daemons that have just started leave it to their elders to be grantors

The fault itself came from a candidate without former views, so a daemon that has been running for less than 30 s isn't one while it hears an eligible daemon that has been running for 5 s longer.

--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -25,7 +25,7 @@
 pub use {
     allowance::{Allowance, VALIDITY},
     decision::{Admission, QuotaAction, QuotaEvent, RequestId, Usage},
-    electorate::{ViewId, Voter},
+    electorate::Voter,
     grantor::Grantor,
     lease::{LEASE, Lease},
     message::Message,
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -1,8 +1,4 @@
-use {
-    crate::electorate::ViewId,
-    serde::{Deserialize, Serialize},
-    std::net::Ipv4Addr,
-};
+use serde::{Deserialize, Serialize};
 
 /// A message about quotas between two daemons. Each fits in one datagram and may be lost, doubled
 /// or delayed.
@@ -17,7 +13,7 @@
         /// The shards for which the sender asks for support.
         shards: u8,
     },
-    /// The sender, of a build that tells no views, supports the receiver for [`crate::LEASE`].
+    /// The sender supports the receiver for [`crate::LEASE`].
     Support {
         /// The number of the round in which the receiver asked.
         number: u32,
@@ -60,18 +56,4 @@
         /// The number of the request.
         number: u16,
     },
-    /// The sender supports the receiver for [`crate::LEASE`]. The receiver is grantor only with more
-    /// than half of the daemons of each of the views.
-    SupportIn {
-        /// The number of the round in which the receiver asked.
-        number: u32,
-        /// The shards; only those that were asked for.
-        shards: u8,
-        /// The views of the registered daemons that the sender has or had lately.
-        views: Vec<ViewId>,
-    },
-    /// Asks for the daemons of a view that the receiver named.
-    AskView(ViewId),
-    /// The daemons of a view.
-    View(Vec<Ipv4Addr>),
 }
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -213,21 +213,6 @@
                     self.handle_support(now, from, asked, shards);
                 }
             }
-            Message::SupportIn {
-                number,
-                shards,
-                views,
-            } => {
-                if let Some(asked) = self.rounds.began(number) {
-                    self.handle_support_in(now, from, (asked, shards), &views);
-                }
-            }
-            Message::AskView(id) => {
-                if let Some(members) = self.electorate.view(id) {
-                    self.send(now, from, Message::View(members));
-                }
-            }
-            Message::View(members) => self.electorate.learn(now, members),
             Message::Release { rounds } => {
                 for lease in &mut self.leases {
                     lease.released(now, from, &rounds);
@@ -319,6 +304,11 @@
         std::mem::take(&mut self.events)
     }
 
+    /// When this daemon started.
+    pub fn started(&self) -> Time {
+        self.started
+    }
+
     /// Whether this daemon is grantor of a shard.
     pub fn holds(&self, now: Time, shard: usize) -> bool {
         self.leases[shard].holds(now)
--- a/crates/quota/src/tenure.rs
+++ b/crates/quota/src/tenure.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         Grantor, Message, Quota, QuotaEvent, SHARDS,
-        electorate::ViewId,
         lease::{ELECTION_PERIOD, RENEW_PERIOD},
         shard::candidate_rank,
     },
@@ -33,10 +32,9 @@
         }
         self.end_tenures(now);
         if supported != 0 {
-            let message = Message::SupportIn {
+            let message = Message::Support {
                 number,
                 shards: supported,
-                views: self.electorate.views(),
             };
             self.send(now, from, message);
         }
@@ -61,24 +59,6 @@
         }
     }
 
-    /// Handles support of a daemon with these views. Without them all, its lease isn't used; the views
-    /// are asked for, and the next round counts.
-    pub(crate) fn handle_support_in(
-        &mut self,
-        now: Time,
-        from: Ipv4Addr,
-        (asked, shards): (Time, u8),
-        views: &[ViewId],
-    ) {
-        if self.electorate.note_views(now, views) {
-            self.handle_support(now, from, asked, shards);
-            return;
-        }
-        for view in self.electorate.take_unknown(now, views) {
-            self.send(now, from, Message::AskView(view));
-        }
-    }
-
     pub(crate) fn begin_tenure(&mut self, now: Time, shard: usize) {
         self.grantors[shard] = Some(Grantor::new(now));
         self.events.push(QuotaEvent::TenureBegan(shard));
@@ -99,7 +79,7 @@
         let mut elects = false;
         let mut candidate = false;
         for shard in 0..SHARDS {
-            let rank = self.own_rank(shard);
+            let rank = self.own_rank(now, shard);
             let lease = &mut self.leases[shard];
             elects |= lease.update_candidacy(now, rank);
             elects |= lease.is_candidate() && !lease.holds(now);
@@ -119,8 +99,9 @@
     }
 
     /// How many candidates for a shard come before this daemon; `None` if it can't be one.
-    pub(crate) fn own_rank(&self, shard: usize) -> Option<usize> {
-        if self.retired || self.names.is_empty() {
+    pub(crate) fn own_rank(&self, now: Time, shard: usize) -> Option<usize> {
+        let uptime = now.since(self.started);
+        if self.retired || self.names.is_empty() || self.electorate.has_elder(self.own, uptime) {
             return None;
         }
         let own = candidate_rank(shard, self.own);
--- a/crates/quota/tests/fleet/failures.rs
+++ b/crates/quota/tests/fleet/failures.rs
@@ -214,17 +214,26 @@
     }
 }
 
-/// Members that join a whole fleet keep none of its shards from being served.
+/// Guards against an election that the daemons which join one after the other hold up: with the views
+/// that each of them adds, a grantor would need more than half of dozens of sets.
 #[test]
 fn a_fleet_that_grows_goes_on_serving() {
     for size in [7, 13, 118] {
         let mut fleet = loaded(size, 12);
-        fleet.grow(size / 3);
         let start = fleet.now;
+        for _ in 0..size / 2 {
+            fleet.grow(1);
+            fleet.run(Span::millis(50));
+        }
+        let grantors = fleet.grantors();
+        for index in &grantors {
+            assert!(*index < size, "{index} has just started");
+        }
         fleet.run(Span::secs(10));
         assert_eq!(fleet.served_shards(), SHARDS);
+        let span = fleet.now.since(start).as_secs();
         let served = fleet.records[2].admitted_since(start) as f64;
-        assert!(served >= 900.0, "{size}: {served}");
+        assert!(served >= 90.0 * span, "{size}: {served} in {span} s");
         fleet.assert_bounds();
     }
 }
--- a/crates/quota/tests/fleet/harness.rs
+++ b/crates/quota/tests/fleet/harness.rs
@@ -48,6 +48,8 @@
     origin: Time,
     pub(crate) quota: Quota,
     scheduled: Time,
+    /// When its process started.
+    started: Time,
 }
 
 /// What became of an account's requests.
@@ -185,6 +187,7 @@
             origin,
             quota,
             scheduled: self.now,
+            started: self.now,
         }
     }
 
@@ -362,6 +365,7 @@
                 eligible: reached(other),
                 ip: ip(other),
                 reads: true,
+                uptime: self.now.since(self.nodes[other].started),
             });
             let voters = voters.collect();
             let now = self.local(index);
