quota: whoever knows a lasting former view supports only its daemons

Change: a former view that lasted 5 s names the daemons that are supported until 30 s after its end. Daemons that have just joined aren't among them; while a fleet starts no view lasts. No message changes.

--- a/crates/daemon/src/quotas.rs
+++ b/crates/daemon/src/quotas.rs
@@ -73,7 +73,6 @@
                     eligible: alive && reads && member.stage == Stage::Ready,
                     ip: member.ip,
                     reads,
-                    uptime: member.uptime(),
                 }
             })
             .collect();
@@ -81,7 +80,6 @@
             eligible: self.stage == Stage::Ready,
             ip: self.settings.ip,
             reads: true,
-            uptime: now.since(self.quota.started()),
         });
         self.quota.set_members(now, voters);
     }
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{Format, HEARTBEAT_PERIOD, Stage, Watch, handshake::Handshake},
+    crate::{Format, Stage, Watch, handshake::Handshake},
     site::Revs,
     std::net::Ipv4Addr,
     unit::{Name, Span, Time},
@@ -41,12 +41,6 @@
 }
 
 impl Member {
-    /// For how long its current incarnation has been running, by the heartbeats that it has sent. Zero
-    /// for a daemon that is known only through gossip; more than it was if it has announced much.
-    pub fn uptime(&self) -> Span {
-        HEARTBEAT_PERIOD * u64::from(self.sequence)
-    }
-
     /// Whether it may read extended messages: it has shown that it does, or nothing shows that it
     /// doesn't. Most daemons of other data centres are known only through gossip, which doesn't tell.
     pub fn may_read_extended(&self) -> bool {
--- a/crates/quota/src/electorate.rs
+++ b/crates/quota/src/electorate.rs
@@ -6,9 +6,8 @@
 /// How long a former membership still has a say in who is grantor. Within this time, daemons that
 /// can reach each other or the store learn of the change.
 const SETTLE_TIME: Span = Span::secs(30);
-/// How much longer an elder has been running. Daemons that are started together are no elders of one
-/// another.
-const ELDER_MARGIN: Span = Span::secs(5);
+/// How long a view lasts that daemons count by. While a fleet starts, views change all the time.
+const LASTING: Span = Span::secs(5);
 /// The most former memberships that are kept. More changes than that in [`SETTLE_TIME`] are kept as
 /// the oldest ones; those between may be lost.
 const MAX_FORMER: usize = 16;
@@ -22,20 +21,28 @@
     pub ip: Ipv4Addr,
     /// Whether it reads messages about quotas.
     pub reads: bool,
-    /// For how long its process has been running.
-    pub uptime: Span,
+}
+
+/// A view that was replaced.
+#[derive(Clone, Debug)]
+struct Former {
+    lasted: Span,
+    replaced: Time,
+    view: Set<Ipv4Addr>,
 }
 
 /// The registered daemons, the own one included, and who counted as such lately.
 ///
 /// A quorum is more than half of the registered daemons, by the present view and by each view that
 /// was replaced less than `SETTLE_TIME` ago. So two quorums have a daemon in common as long as
-/// views differ by no more than the changes of that time. A daemon that has just started knows no
-/// former view; it leaves it to its elders to be grantors.
+/// views differ by no more than the changes of that time. A daemon that has just joined knows no former
+/// view, so those that do don't support it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Electorate {
-    former: VecDeque<(Time, Set<Ipv4Addr>)>,
+    former: VecDeque<Former>,
     present: Set<Ipv4Addr>,
+    /// When the present view began.
+    since: Time,
     voters: Vec<Voter>,
 }
 
@@ -46,14 +53,19 @@
         self.voters = voters;
         let expired = |at: &Time| now.since(*at) >= SETTLE_TIME;
         let before = self.former.len();
-        self.former.retain(|(replaced, _)| !expired(replaced));
+        self.former.retain(|former| !expired(&former.replaced));
         let fewer = self.former.len() < before;
         if present == self.present {
             return fewer;
         }
-        let former = std::mem::replace(&mut self.present, present);
-        if !former.is_empty() {
-            self.former.push_back((now, former));
+        let view = std::mem::replace(&mut self.present, present);
+        let since = std::mem::replace(&mut self.since, now);
+        if !view.is_empty() {
+            self.former.push_back(Former {
+                lasted: now.since(since),
+                replaced: now,
+                view,
+            });
         }
         if self.former.len() > MAX_FORMER {
             self.former.remove(MAX_FORMER / 2);
@@ -66,13 +78,12 @@
         &self.voters
     }
 
-    /// Whether a daemon that has been running for `uptime` may lack former views that another one knows,
-    /// which can be grantor in its place.
-    pub(crate) fn has_elder(&self, own: Ipv4Addr, uptime: Span) -> bool {
-        let elder = |voter: &Voter| {
-            voter.eligible && voter.ip != own && voter.uptime > uptime + ELDER_MARGIN
-        };
-        uptime < SETTLE_TIME && self.voters.iter().any(elder)
+    /// Whether a daemon may be grantor by the views of which it is to know: it was registered in each
+    /// former one that lasted. One that has just joined knows none of them, so that its quorum would
+    /// have no daemon in common with one that counts by them.
+    pub(crate) fn is_established(&self, ip: Ipv4Addr) -> bool {
+        let mut lasting = self.former.iter().filter(|former| former.lasted >= LASTING);
+        lasting.all(|former| former.view.contains(&ip))
     }
 
     /// Whether a daemon is registered.
@@ -88,7 +99,7 @@
     /// The time until which a quorum's leases last, given when each lease ends; `Time::ZERO` if
     /// there are too few.
     pub(crate) fn quorum_until(&self, leases: &Map<Ipv4Addr, Time>) -> Time {
-        let former = self.former.iter().map(|(_, view)| view);
+        let former = self.former.iter().map(|former| &former.view);
         let ends = former.chain([&self.present]).map(|view| {
             let mut ends: Vec<Time> = leases
                 .iter()
--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -117,7 +117,8 @@
         electorate: &Electorate,
     ) -> bool {
         let released = self.released.contains(&number);
-        if !electorate.contains(from) || from == self.own || released {
+        let admissible = electorate.contains(from) && electorate.is_established(from);
+        if !admissible || from == self.own || released {
             return false;
         }
         self.record_candidate(now, from, held);
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -304,11 +304,6 @@
         std::mem::take(&mut self.events)
     }
 
-    /// When this daemon started.
-    pub fn started(&self) -> Time {
-        self.started
-    }
-
     /// Whether this daemon is grantor of a shard.
     pub fn holds(&self, now: Time, shard: usize) -> bool {
         self.leases[shard].holds(now)
--- a/crates/quota/src/tenure.rs
+++ b/crates/quota/src/tenure.rs
@@ -79,7 +79,7 @@
         let mut elects = false;
         let mut candidate = false;
         for shard in 0..SHARDS {
-            let rank = self.own_rank(now, shard);
+            let rank = self.own_rank(shard);
             let lease = &mut self.leases[shard];
             elects |= lease.update_candidacy(now, rank);
             elects |= lease.is_candidate() && !lease.holds(now);
@@ -99,14 +99,15 @@
     }
 
     /// How many candidates for a shard come before this daemon; `None` if it can't be one.
-    pub(crate) fn own_rank(&self, now: Time, shard: usize) -> Option<usize> {
-        let uptime = now.since(self.started);
-        if self.retired || self.names.is_empty() || self.electorate.has_elder(self.own, uptime) {
+    pub(crate) fn own_rank(&self, shard: usize) -> Option<usize> {
+        if self.retired || self.names.is_empty() {
             return None;
         }
         let own = candidate_rank(shard, self.own);
         let voters = self.electorate.voters();
-        let eligible = voters.iter().filter(|voter| voter.eligible);
+        let eligible = voters
+            .iter()
+            .filter(|voter| voter.eligible && self.electorate.is_established(voter.ip));
         let ranks = eligible.map(|voter| candidate_rank(shard, voter.ip));
         let mut before = 0;
         let mut is_eligible = false;
--- a/crates/quota/tests/fleet/failures.rs
+++ b/crates/quota/tests/fleet/failures.rs
@@ -214,26 +214,26 @@
     }
 }
 
-/// Guards against an election that the daemons which join one after the other hold up: with the views
-/// that each of them adds, a grantor would need more than half of dozens of sets.
+/// Guards against elections that daemons which join hold up: the others learn of them in orders of
+/// their own, so that there are many views for a while, none of which lasts.
 #[test]
 fn a_fleet_that_grows_goes_on_serving() {
     for size in [7, 13, 118] {
         let mut fleet = loaded(size, 12);
         let start = fleet.now;
-        for _ in 0..size / 2 {
-            fleet.grow(1);
-            fleet.run(Span::millis(50));
+        fleet.grow_unevenly(size / 2);
+        for _ in 0..10 {
+            assert_eq!(fleet.served_shards(), SHARDS, "{size}");
+            fleet.run(Span::secs(1));
         }
-        let grantors = fleet.grantors();
-        for index in &grantors {
-            assert!(*index < size, "{index} has just started");
-        }
-        fleet.run(Span::secs(10));
-        assert_eq!(fleet.served_shards(), SHARDS);
         let span = fleet.now.since(start).as_secs();
         let served = fleet.records[2].admitted_since(start) as f64;
         assert!(served >= 90.0 * span, "{size}: {served} in {span} s");
+        // A grantor of before that stops has a successor of before.
+        let grantor = fleet.grantor_of(2).expect("a grantor");
+        fleet.retire(grantor);
+        fleet.run(RECOVERY);
+        assert!(fleet.grantor_of(2).is_some_and(|index| index < size));
         fleet.assert_bounds();
     }
 }
--- a/crates/quota/tests/fleet/harness.rs
+++ b/crates/quota/tests/fleet/harness.rs
@@ -48,8 +48,6 @@
     origin: Time,
     pub(crate) quota: Quota,
     scheduled: Time,
-    /// When its process started.
-    started: Time,
 }
 
 /// What became of an account's requests.
@@ -187,7 +185,6 @@
             origin,
             quota,
             scheduled: self.now,
-            started: self.now,
         }
     }
 
@@ -286,6 +283,22 @@
         self.detect();
     }
 
+    /// Adds daemons of which the others learn in a second or so, each in an order of its own.
+    pub(crate) fn grow_unevenly(&mut self, count: usize) {
+        const STEPS: usize = 20;
+        let old = self.nodes.len();
+        self.grow(count);
+        let pairs = (0..old).flat_map(|at| (old..old + count).map(move |new| (at, new)));
+        self.strangers.extend(pairs);
+        for step in 1..=STEPS {
+            let rng = &mut self.rng;
+            self.strangers
+                .retain(|_| rng.usize(..STEPS) >= step.min(STEPS / 2) && step < STEPS);
+            self.detect();
+            self.run(Span::millis(50));
+        }
+    }
+
     /// Stops a daemon gracefully; it goes on answering.
     pub(crate) fn retire(&mut self, index: usize) {
         let now = self.local(index);
@@ -365,7 +378,6 @@
                 eligible: reached(other),
                 ip: ip(other),
                 reads: true,
-                uptime: self.now.since(self.nodes[other].started),
             });
             let voters = voters.collect();
             let now = self.local(index);
--- a/crates/quota/tests/fleet/limits.rs
+++ b/crates/quota/tests/fleet/limits.rs
@@ -146,7 +146,6 @@
         eligible: true,
         ip: crate::harness::ip(at),
         reads: true,
-        uptime: Span::ZERO,
     });
     quota.set_members(started, voters.collect());
     let now = started + BOUNDS.window;
