--- a/crates/standin/src/soak/runner.rs
+++ b/crates/standin/src/soak/runner.rs
@@ -32,6 +32,7 @@
         time::{Duration, Instant},
     },
     unit::{Name, Span},
+    wire::Target,
 };
 
 /// The data centres of the fleet.
@@ -281,9 +282,10 @@
                 && request.result.outcome != Outcome::Served
                 && self.has_valid_key(request)
         });
-        report
-            .violations
-            .extend(unserved.map(|request| format!("not served after the recovery: {request:?}")));
+        report.violations.extend(unserved.map(|request| {
+            let why = self.explain(&request.result.id, indices.get(&request.result.daemon));
+            format!("not served after the recovery: {request:?}; {why}")
+        }));
         report.faults = faults;
         if let Some(rollout) = &self.rollout {
             let executions = self.fleet.executions.entries();
@@ -301,6 +303,13 @@
         Ok(report)
     }
 
+    /// What a daemon logged of a request, if it can still be asked.
+    fn explain(&self, id: &str, daemon: Option<&usize>) -> String {
+        let page = Target::new("/explain").param("id", id);
+        let text = daemon.and_then(|at| self.fleet.operators_page(*at, page.as_str()).ok());
+        text.unwrap_or_else(|| "its daemon doesn't tell".to_owned())
+    }
+
     /// Whether a request has the key that it needs, if it needs one.
     fn has_valid_key(&self, request: &TimedResult) -> bool {
         let terms = self.keys.terms();
