--- a/crates/judge/src/bounds.rs
+++ b/crates/judge/src/bounds.rs
@@ -24,7 +24,7 @@
     pub quota_window: Span,
     /// The bound on retries of each service.
     pub retries: RetryBound,
-    /// How long after a disturbance the bounds on the spreading of changes don't hold.
+    /// How long after a disruption the bounds on the spreading of changes don't hold.
     pub settle: Span,
 }
 
--- a/crates/judge/src/breach.rs
+++ b/crates/judge/src/breach.rs
@@ -50,7 +50,7 @@
 pub struct Breach {
     /// When it was broken.
     pub at: Time,
-    /// The ids, times and bounds that show it, and why no disturbance excuses it.
+    /// The ids, times and bounds that show it, and why no disruption excuses it.
     pub evidence: String,
     /// What was promised.
     pub promise: Promise,
--- a/crates/judge/src/disturbances.rs
+++ b/crates/judge/src/disruptions.rs
@@ -3,15 +3,15 @@
     unit::{Map, Span, Time},
 };
 
-/// When what was disturbed.
+/// When what was disrupted.
 #[derive(Debug, Default)]
-pub(crate) struct Disturbances<'a>(Map<&'a Subject, Vec<(Time, Time)>>);
+pub(crate) struct Disruptions<'a>(Map<&'a Subject, Vec<(Time, Time)>>);
 
-impl<'a> Disturbances<'a> {
+impl<'a> Disruptions<'a> {
     pub(crate) fn new(entries: &'a [Entry]) -> Self {
         let mut by_subject: Map<&Subject, Vec<(Time, Time)>> = Map::default();
         for entry in entries {
-            if let Event::Disturbed { subject, until } = &entry.event {
+            if let Event::Disrupted { subject, until } = &entry.event {
                 by_subject
                     .entry(subject)
                     .or_default()
@@ -21,7 +21,7 @@
         Self(by_subject)
     }
 
-    /// Whether a disturbance of the subject, or its `tail`, meets the time between two moments.
+    /// Whether a disruption of the subject, or its `tail`, meets the time between two moments.
     pub(crate) fn meet(&self, subject: &Subject, (from, to): (Time, Time), tail: Span) -> bool {
         let spans = self.0.get(subject).map(Vec::as_slice).unwrap_or_default();
         spans
--- a/crates/judge/src/entry.rs
+++ b/crates/judge/src/entry.rs
@@ -39,11 +39,11 @@
         /// The worker's id.
         worker: Name,
     },
-    /// A disturbance began.
-    Disturbed {
-        /// What is disturbed.
+    /// A disruption began.
+    Disrupted {
+        /// What is disrupted.
         subject: Subject,
-        /// When the disturbance ends.
+        /// When the disruption ends.
         until: Time,
     },
     /// The store acknowledged that a worker drains or has left.
@@ -114,7 +114,7 @@
     Wrong,
 }
 
-/// What a disturbance concerns.
+/// What a disruption concerns.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Subject {
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -6,7 +6,7 @@
 
 mod bounds;
 mod breach;
-mod disturbances;
+mod disruptions;
 mod entry;
 mod record;
 mod requests;
@@ -21,7 +21,7 @@
 };
 
 use {
-    disturbances::Disturbances,
+    disruptions::Disruptions,
     requests::Requests,
     unit::{Name, Span, Time},
 };
@@ -30,7 +30,7 @@
 pub fn judge(record: &Record) -> Vec<Breach> {
     let case = Case {
         bounds: &record.bounds,
-        disturbances: Disturbances::new(&record.entries),
+        disruptions: Disruptions::new(&record.entries),
         entries: &record.entries,
         requests: Requests::new(&record.entries),
     };
@@ -51,30 +51,30 @@
 /// What the rules look at.
 pub(crate) struct Case<'a> {
     pub(crate) bounds: &'a Bounds,
-    pub(crate) disturbances: Disturbances<'a>,
+    pub(crate) disruptions: Disruptions<'a>,
     pub(crate) entries: &'a [Entry],
     pub(crate) requests: Requests<'a>,
 }
 
 impl Case<'_> {
-    /// Whether a daemon was disturbed between two moments.
-    pub(crate) fn daemon_disturbed(&self, daemon: &Name, during: (Time, Time)) -> bool {
+    /// Whether a daemon was disrupted between two moments.
+    pub(crate) fn daemon_disrupted(&self, daemon: &Name, during: (Time, Time)) -> bool {
         let subject = Subject::Daemon(daemon.clone());
-        self.disturbances.meet(&subject, during, Span::ZERO)
+        self.disruptions.meet(&subject, during, Span::ZERO)
     }
 
-    /// Whether a worker was disturbed between two moments.
-    pub(crate) fn worker_disturbed(&self, worker: &Name, during: (Time, Time)) -> bool {
+    /// Whether a worker was disrupted between two moments.
+    pub(crate) fn worker_disrupted(&self, worker: &Name, during: (Time, Time)) -> bool {
         let subject = Subject::Worker(worker.clone());
-        self.disturbances.meet(&subject, during, Span::ZERO)
+        self.disruptions.meet(&subject, during, Span::ZERO)
     }
 
     /// Whether changes could reach a daemon in time between two moments: neither it nor what they
-    /// spread by was disturbed lately.
+    /// spread by was disrupted lately.
     pub(crate) fn changes_spread(&self, during: (Time, Time), daemon: &Name) -> bool {
         let settle = self.bounds.settle;
         let daemon = Subject::Daemon(daemon.clone());
-        !self.disturbances.meet(&Subject::Spreading, during, settle)
-            && !self.disturbances.meet(&daemon, during, settle)
+        !self.disruptions.meet(&Subject::Spreading, during, settle)
+            && !self.disruptions.meet(&daemon, during, settle)
     }
 }
--- a/crates/judge/src/requests.rs
+++ b/crates/judge/src/requests.rs
@@ -102,7 +102,7 @@
                     timeout: *timeout,
                 });
             }
-            Event::Disturbed { .. }
+            Event::Disrupted { .. }
             | Event::Drained { .. }
             | Event::Evacuated { .. }
             | Event::Joined { .. }
--- a/crates/judge/src/rules/answers.rs
+++ b/crates/judge/src/rules/answers.rs
@@ -27,7 +27,7 @@
         .collect()
 }
 
-/// Requests whose connection ended without an answer, though neither the daemon was disturbed while
+/// Requests whose connection ended without an answer, though neither the daemon was disrupted while
 /// the connection lasted, nor a worker that had the request.
 fn lost(case: &Case<'_>) -> Vec<Breach> {
     let mut breaches = Vec::new();
@@ -38,8 +38,8 @@
         let workers = request.arrivals.iter().map(|visit| visit.worker);
         let broken = workers
             .into_iter()
-            .any(|worker| case.worker_disturbed(worker, (sent.at, at)));
-        if broken || daemon_disturbed(case, sent, at) {
+            .any(|worker| case.worker_disrupted(worker, (sent.at, at)));
+        if broken || daemon_disrupted(case, sent, at) {
             continue;
         }
         breaches.push(Breach {
@@ -54,7 +54,7 @@
     breaches
 }
 
-fn daemon_disturbed(case: &Case<'_>, sent: Sent<'_>, at: unit::Time) -> bool {
+fn daemon_disrupted(case: &Case<'_>, sent: Sent<'_>, at: unit::Time) -> bool {
     // A connection that was kept since before its daemon's process ended does so whenever it is used.
-    case.daemon_disturbed(sent.daemon, (sent.opened, at))
+    case.daemon_disrupted(sent.daemon, (sent.opened, at))
 }
--- a/crates/judge/src/rules/runs.rs
+++ b/crates/judge/src/rules/runs.rs
@@ -56,13 +56,13 @@
     })
 }
 
-/// A request that reached more workers than its route allows. Workers that were disturbed meanwhile
+/// A request that reached more workers than its route allows. Workers that were disrupted meanwhile
 /// don't count.
 fn many_workers(case: &Case<'_>, id: &Name, request: &Request<'_>) -> Option<Breach> {
     let sent = request.sent?;
     let last = request.runs.last()?;
     let mut workers: Set<&Name> = request.runs.iter().map(|run| run.worker).collect();
-    workers.retain(|worker| !case.worker_disturbed(worker, (sent.at, last.at)));
+    workers.retain(|worker| !case.worker_disrupted(worker, (sent.at, last.at)));
     let allowed = sent.max_attempts as usize;
     (workers.len() > allowed).then(|| Breach {
         at: last.at,
--- a/crates/judge/src/rules/timeout.rs
+++ b/crates/judge/src/rules/timeout.rs
@@ -3,7 +3,7 @@
 use crate::{Breach, Case, Promise};
 
 /// Whether more than half of the requests that were unanswered at their route's timeout were so for
-/// longer than the slack after it, at daemons that weren't disturbed.
+/// longer than the slack after it, at daemons that weren't disrupted.
 pub(crate) fn judge(case: &Case<'_>) -> Vec<Breach> {
     let (mut overdue, mut late) = (0, Vec::new());
     for (id, request, sent) in case.requests.sent() {
@@ -15,7 +15,7 @@
         let Some(until) = answered.or(end.filter(|end| *end > latest)) else {
             continue;
         };
-        if until <= due || case.daemon_disturbed(sent.daemon, (sent.opened, latest)) {
+        if until <= due || case.daemon_disrupted(sent.daemon, (sent.opened, latest)) {
             continue;
         }
         overdue += 1;
--- a/crates/judge/tests/records.rs
+++ b/crates/judge/tests/records.rs
@@ -22,7 +22,7 @@
         },
         Entry {
             at: Time::at(Span::millis(3)),
-            event: Event::Disturbed {
+            event: Event::Disrupted {
                 subject: Subject::Daemon("d".into()),
                 until: Time::at(Span::millis(9)),
             },
--- a/crates/judge/tests/rules.rs
+++ b/crates/judge/tests/rules.rs
@@ -115,10 +115,10 @@
         )
     }
 
-    fn disturbed(self, from: u64, to: u64, subject: Subject) -> Self {
+    fn disrupted(self, from: u64, to: u64, subject: Subject) -> Self {
         self.event(
             from,
-            Event::Disturbed {
+            Event::Disrupted {
                 subject,
                 until: at(to),
             },
@@ -205,7 +205,7 @@
     assert_eq!(two().broken(), []);
     assert_eq!(two().began(3, "g1", "u").broken(), [Promise::MaxAttempts]);
     // One that was cut off meanwhile doesn't count.
-    let cut = two().began(3, "g1", "u").disturbed(1, 2, worker());
+    let cut = two().began(3, "g1", "u").disrupted(1, 2, worker());
     assert_eq!(cut.broken(), []);
 }
 
@@ -226,7 +226,7 @@
             .answered(200, "g1", Outcome::Closed)
     };
     assert_eq!(closed().broken(), [Promise::Answered]);
-    // A disturbance excuses it that meets the time of the connection, or of the worker's work.
+    // A disruption excuses it that meets the time of the connection, or of the worker's work.
     for (from, to, excused) in [
         (0, 99, false),
         (0, 100, true),
@@ -239,7 +239,7 @@
             vec![Promise::Answered]
         };
         for subject in [daemon(), worker()] {
-            let story = closed().disturbed(from, to, subject);
+            let story = closed().disrupted(from, to, subject);
             assert_eq!(story.broken(), expected, "{from} {to}");
         }
     }
@@ -289,14 +289,14 @@
     assert_eq!(Story(reached(3_001).0).broken(), broken);
     // It is another process run that starts under the id.
     assert_eq!(reached(3_001).joined(2_000, "w").broken(), []);
-    // Changes spread late during a disturbance, and for the settling time after it.
+    // Changes spread late during a disruption, and for the settling time after it.
     assert_eq!(
-        reached(3_001).disturbed(3_001, 9_000, daemon()).broken(),
+        reached(3_001).disrupted(3_001, 9_000, daemon()).broken(),
         []
     );
     assert_eq!(
         reached(4_001)
-            .disturbed(0, 1_001, Subject::Spreading)
+            .disrupted(0, 1_001, Subject::Spreading)
             .broken(),
         [],
     );
@@ -304,7 +304,7 @@
     let before = before
         .arrived(6_002, "g1", "w", false)
         .answered(6_003, "g1", Outcome::Served)
-        .disturbed(0, 1_000, Subject::Spreading);
+        .disrupted(0, 1_000, Subject::Spreading);
     assert_eq!(before.broken(), broken);
 }
 
@@ -325,7 +325,7 @@
     );
     assert_eq!(reached(6_001).returned(6_001).broken(), []);
     assert_eq!(
-        reached(6_001).disturbed(0, 1, Subject::Spreading).broken(),
+        reached(6_001).disrupted(0, 1, Subject::Spreading).broken(),
         [],
     );
 }
@@ -395,10 +395,10 @@
         silent().joined(1_501, "v").broken(),
         [Promise::AnsweredByTimeout]
     );
-    let disturbed = silent()
+    let disrupted = silent()
         .joined(1_501, "v")
-        .disturbed(1_500, 1_600, daemon());
-    assert_eq!(disturbed.broken(), []);
+        .disrupted(1_500, 1_600, daemon());
+    assert_eq!(disrupted.broken(), []);
 }
 
 #[test]
--- a/crates/standin/src/soak/record.rs
+++ b/crates/standin/src/soak/record.rs
@@ -136,20 +136,20 @@
     fn faults(&self) -> Vec<Entry> {
         let history = self.history;
         let mut entries = Vec::new();
-        let mut disturb = |from: Instant, to: Instant, subject: Subject| {
+        let mut disrupt = |from: Instant, to: Instant, subject: Subject| {
             let until = self.time(to);
-            entries.push(self.entry(from, Event::Disturbed { subject, until }));
+            entries.push(self.entry(from, Event::Disrupted { subject, until }));
         };
         for fault in &history.disrupted {
             let daemon = self.daemon(Some(&fault.subject));
-            disturb(fault.from, fault.to, Subject::Daemon(daemon));
+            disrupt(fault.from, fault.to, Subject::Daemon(daemon));
         }
         for fault in &history.cutting {
             let worker = Subject::Worker(fault.subject.clone());
-            disturb(fault.from, fault.to + CUT_TAIL, worker);
+            disrupt(fault.from, fault.to + CUT_TAIL, worker);
         }
         for fault in &history.suspensions {
-            disturb(fault.from, fault.to, Subject::Spreading);
+            disrupt(fault.from, fault.to, Subject::Spreading);
         }
         for (worker, at) in &history.draining {
             let worker = worker.clone();
